--- /dev/null
+++ b/internal/bookkeeping/mirror.go
@@ -0,0 +1,80 @@
+package bookkeeping
+
+import (
+	"strings"
+
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+// Mirror is a node's copy of the live records: complete up to Revision.
+type Mirror struct {
+	Revision uint64
+	items    map[string]protocol.Entry
+	loading  map[string]protocol.Entry
+	loadRev  uint64
+	ready    bool
+}
+
+// Ready says whether the mirror has been loaded.
+func (m *Mirror) Ready() bool { return m.ready }
+
+// BeginLoad starts reading everything anew.
+func (m *Mirror) BeginLoad() {
+	m.loading = map[string]protocol.Entry{}
+	m.loadRev = 0
+}
+
+// LoadPage takes a page and returns the key to go on after, or "" at the end.
+// The watch starts from the first page's revision: a change between two pages
+// is seen again, which does no harm.
+func (m *Mirror) LoadPage(page *protocol.Entries) (after string) {
+	if m.loadRev == 0 {
+		m.loadRev = page.Revision
+	}
+	for _, e := range page.Items {
+		m.loading[e.Key] = e
+		after = e.Key
+	}
+	if page.More && after != "" {
+		return after
+	}
+	m.items, m.loading = m.loading, nil
+	m.Revision, m.ready = m.loadRev, true
+	return ""
+}
+
+// Apply takes a change that the watch saw; false: it is older than what is
+// known.
+func (m *Mirror) Apply(ev *protocol.WatchEvent) bool {
+	if ev.Set != "" {
+		if old, ok := m.items[ev.Set]; ok && old.Stamp >= ev.Stamp {
+			return false
+		}
+		m.items[ev.Set] = protocol.Entry{Key: ev.Set, Value: ev.Value, Stamp: ev.Stamp}
+		return true
+	}
+	old, ok := m.items[ev.Delete]
+	if !ok || old.Stamp >= ev.Stamp {
+		return false
+	}
+	delete(m.items, ev.Delete)
+	return true
+}
+
+// Get reads one key.
+func (m *Mirror) Get(key string) (protocol.Entry, bool) {
+	e, ok := m.items[key]
+	return e, ok
+}
+
+// Each visits the keys below a prefix, in no order.
+func (m *Mirror) Each(prefix string, visit func(protocol.Entry)) {
+	for k, e := range m.items {
+		if strings.HasPrefix(k, prefix) {
+			visit(e)
+		}
+	}
+}
+
+// Len is the number of keys.
+func (m *Mirror) Len() int { return len(m.items) }
--- /dev/null
+++ b/internal/bookkeeping/records.go
@@ -0,0 +1,155 @@
+// Package bookkeeping holds the records that the controllers keep in the state
+// service, the transactions that change them and each node's mirror of them.
+//
+// Keys:
+//
+//	g/c/leader      the leader's claim, attached to its lease
+//	g/j/<job>       an unfinished job: description, state and first tasks
+//	g/t/<job>/<n>   further tasks of a job that does not fit into one record
+//	g/m/<machine>   a machine's room record
+//	h/<job>         a finished job, kept for good
+//
+// Everything below g/ is mirrored by every node; h/ grows for ever and is read
+// one key at a time.
+package bookkeeping
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// Prefixes and keys.
+const (
+	LivePrefix    = "g/"
+	ClaimKey      = "g/c/leader"
+	JobPrefix     = "g/j/"
+	TaskPrefix    = "g/t/"
+	MachinePrefix = "g/m/"
+	FinalPrefix   = "h/"
+)
+
+// JobKey is the key of an unfinished job.
+func JobKey(id string) string { return JobPrefix + id }
+
+// FinalKey is the key of a finished job.
+func FinalKey(id string) string { return FinalPrefix + id }
+
+// ChunkKey is the key of a job's n-th record of tasks, n from 1.
+func ChunkKey(id string, n int) string { return TaskPrefix + id + "/" + strconv.Itoa(n) }
+
+// SplitChunkKey takes such a key apart.
+func SplitChunkKey(key string) (id string, n int, ok bool) {
+	rest, ok := strings.CutPrefix(key, TaskPrefix)
+	if !ok {
+		return "", 0, false
+	}
+	id, num, ok := strings.Cut(rest, "/")
+	if !ok {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(num)
+	return id, n, err == nil && n > 0
+}
+
+// MachineKey is the key of a machine's room record.
+func MachineKey(id string) string { return MachinePrefix + id }
+
+// Claim is the leader's claim. Its revision is the term and the token.
+type Claim struct {
+	Node string `json:"node"`
+	// Boot tells two lives of one node apart.
+	Boot string `json:"boot"`
+}
+
+// Task is the part of a task that must outlive every controller.
+type Task struct {
+	Index   int    `json:"i"`
+	Attempt uint64 `json:"n"`
+	Machine string `json:"m,omitempty"`
+	Session uint64 `json:"s,omitempty"`
+	Done    bool   `json:"d,omitempty"`
+}
+
+// Job is the record of an unfinished job. Writer is unique to every write: by
+// it a transaction whose answer was lost is told from one that never happened.
+type Job struct {
+	Writer    string        `json:"w"`
+	Spec      *protocol.Job `json:"spec"`
+	AtMs      int64         `json:"at"`            // time of day of the submission
+	Seq       uint64        `json:"seq,omitempty"` // revision of the submission: the order of arrival
+	Attempt   uint64        `json:"try,omitempty"` // the gang's epoch
+	Cancelled bool          `json:"off,omitempty"`
+	Done      int           `json:"done,omitempty"`
+	Placed    int           `json:"placed,omitempty"`
+	Chunk     int           `json:"chunk"` // tasks per record
+	Tasks     []Task        `json:"tasks,omitempty"`
+}
+
+// Chunk is a further record of a job's tasks.
+type Chunk struct {
+	Writer string `json:"w"`
+	Tasks  []Task `json:"tasks,omitempty"`
+}
+
+// Room is a machine's room record. A claim on a machine's room is guarded on
+// the record's revision.
+type Room struct {
+	Writer  string `json:"w"`
+	Address string `json:"addr"`
+	Type    string `json:"type"`
+	Zone    string `json:"zone"`
+	Spot    bool   `json:"spot,omitempty"`
+	// Closed machines take no further tasks.
+	Closed bool `json:"closed,omitempty"`
+}
+
+// Final is the record of a finished job.
+type Final struct {
+	Writer string `json:"w"`
+	Phase  string `json:"phase"`
+	Done   int    `json:"done"`
+}
+
+// ChunkSize is the number of tasks per record that the value limit allows.
+func ChunkSize(valueKB float64) int {
+	return max(1, (int(valueKB*1024)-tuning.SpecBytes)/tuning.TaskBytes)
+}
+
+// Status is what a user is told of an unfinished job. A record counts as
+// running once a task has its place.
+func (j *Job) Status() protocol.Status {
+	s := protocol.Status{ID: j.Spec.ID, Phase: protocol.PhasePending, Done: j.Done, Running: j.Placed}
+	switch {
+	case j.Cancelled:
+		s.Phase, s.Running = protocol.PhaseCancelled, 0
+	case j.Placed > 0:
+		s.Phase = protocol.PhaseRunning
+	}
+	return s
+}
+
+// DecodeJob reads a job's record.
+func DecodeJob(value json.RawMessage) (*Job, error) {
+	var j Job
+	if err := json.Unmarshal(value, &j); err != nil {
+		return nil, err
+	}
+	if j.Spec == nil || !protocol.ValidID(j.Spec.ID) || j.Spec.Tasks < 1 || j.Spec.Tasks > protocol.MaxTasks || j.Chunk < 1 {
+		return nil, fmt.Errorf("job record without a sound description")
+	}
+	return &j, nil
+}
+
+// Encode writes a record. Records hold nothing that JSON cannot express.
+func Encode(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic("bookkeeping: " + err.Error())
+	}
+	return b
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,299 @@
+// Package config reads the platform's settings (TOML) and the operators' own
+// (Java-style properties) and checks every value before the service starts.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/gappond/gappond/internal/tuning"
+	"github.com/magiconair/properties"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Sibling is another controller.
+type Sibling struct {
+	Name string `toml:"host_name"`
+	Zone string `toml:"domain"`
+	Addr string `toml:"addr"`
+}
+
+// Team is a team's guarantee and limit. A limit of 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	MaxCPUs float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	MaxGPUs float64 `toml:"gpus_max"`
+}
+
+// Objective is an aim for a class of jobs.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Workers are the timings that all workers share.
+type Workers struct {
+	ReportS   float64 `toml:"report_s"`
+	LeaseS    float64 `toml:"lease_s"`
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
+	CancelS   float64 `toml:"cancel_s"`
+}
+
+// State holds the state service's limits.
+type State struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// Cloud holds the cloud's limits.
+type Cloud struct {
+	RPS      float64 `toml:"rps"`
+	ListLagS float64 `toml:"list_lag_s"`
+}
+
+// Resources are the limits of this process.
+type Resources struct {
+	Cores    float64 `toml:"cores"`
+	MemoryMB float64 `toml:"memory_mb"`
+	FDLimit  int     `toml:"fd_limit"`
+}
+
+// Cluster is what all controllers share.
+type Cluster struct {
+	Nodes      int         `toml:"nodes"`
+	Zones      []string    `toml:"zones"`
+	SkewMs     float64     `toml:"skew_ms"`
+	Teams      []Team      `toml:"teams"`
+	Objectives []Objective `toml:"objectives"`
+	Workers    Workers     `toml:"workers"`
+	State      State       `toml:"state"`
+	Cloud      Cloud       `toml:"cloud"`
+	Resources  Resources   `toml:"resources"`
+}
+
+// Endpoints are the outside systems' addresses.
+type Endpoints struct {
+	Cloud string `toml:"cloud"`
+	State string `toml:"state"`
+}
+
+// Config is the whole of the settings.
+type Config struct {
+	Name       string    `toml:"host_name"`
+	Zone       string    `toml:"domain"`
+	Listen     string    `toml:"listen"`
+	PeerListen string    `toml:"peer_bind"`
+	Siblings   []Sibling `toml:"siblings"`
+	Endpoints  Endpoints `toml:"endpoints"`
+	Cluster    Cluster   `toml:"cluster"`
+
+	Operator tuning.Operator `toml:"-"`
+}
+
+// Load reads and checks the settings file and, unless its path is empty, the
+// operators' properties.
+func Load(path, propertiesPath string) (*Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if propertiesPath != "" {
+		data, err := os.ReadFile(propertiesPath)
+		if err != nil {
+			return nil, err
+		}
+		if c.Operator, err = ParseProperties(data); err != nil {
+			return nil, fmt.Errorf("%s: %w", propertiesPath, err)
+		}
+	}
+	return c, nil
+}
+
+// Parse decodes and checks the platform's settings. Unknown fields are ignored.
+func Parse(data []byte) (*Config, error) {
+	c := &Config{Operator: tuning.Defaults()}
+	if err := toml.Unmarshal(data, c); err != nil {
+		var d *toml.DecodeError
+		if errors.As(err, &d) {
+			return nil, errors.New(d.String())
+		}
+		return nil, err
+	}
+	return c, c.check()
+}
+
+func (c *Config) check() error {
+	var errs []error
+	fail := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
+	addr := func(name, a string) {
+		_, port, err := net.SplitHostPort(a)
+		if err != nil {
+			fail("%s: %q is not host:port", name, a)
+			return
+		}
+		if p, err := strconv.Atoi(port); err != nil || p < 0 || p > 65535 {
+			fail("%s: %q has no valid port", name, a)
+		}
+	}
+	positive := func(name string, v float64) {
+		if !(v > 0) || math.IsInf(v, 0) {
+			fail("%s: %v must be above 0", name, v)
+		}
+	}
+	amount := func(name string, v float64) {
+		if !(v >= 0) || math.IsInf(v, 0) {
+			fail("%s: %v must be 0 or more", name, v)
+		}
+	}
+	if c.Name == "" {
+		fail("host_name is missing")
+	}
+	addr("listen", c.Listen)
+	addr("peer_bind", c.PeerListen)
+	addr("endpoints.cloud", c.Endpoints.Cloud)
+	addr("endpoints.state", c.Endpoints.State)
+	seen := map[string]bool{c.Name: true}
+	for i, s := range c.Siblings {
+		if s.Name == "" || seen[s.Name] {
+			fail("siblings[%d].host_name: %q is empty or used twice", i, s.Name)
+		}
+		seen[s.Name] = true
+		addr(fmt.Sprintf("siblings[%d].addr", i), s.Addr)
+	}
+	k := &c.Cluster
+	if len(k.Zones) == 0 {
+		fail("cluster.zones is empty")
+	}
+	amount("cluster.skew_ms", k.SkewMs)
+	teams := map[string]bool{}
+	for i, t := range k.Teams {
+		if t.Name == "" || teams[t.Name] {
+			fail("cluster.teams[%d].name: %q is empty or used twice", i, t.Name)
+		}
+		teams[t.Name] = true
+		amount("cluster.teams["+t.Name+"].cpus", t.CPUs)
+		amount("cluster.teams["+t.Name+"].cpus_max", t.MaxCPUs)
+		amount("cluster.teams["+t.Name+"].gpus", t.GPUs)
+		amount("cluster.teams["+t.Name+"].gpus_max", t.MaxGPUs)
+	}
+	w := k.Workers
+	positive("cluster.workers.report_s", w.ReportS)
+	positive("cluster.workers.lease_s", w.LeaseS)
+	positive("cluster.workers.gang_wait_s", w.GangWaitS)
+	positive("cluster.workers.gang_peer_s", w.GangPeerS)
+	positive("cluster.workers.cancel_s", w.CancelS)
+	if w.CancelS <= w.LeaseS {
+		fail("cluster.workers.cancel_s: %v must be above lease_s (%v), or a cut-off worker outlives a cancellation", w.CancelS, w.LeaseS)
+	}
+	positive("cluster.state.rps", k.State.RPS)
+	positive("cluster.state.write_rps", k.State.WriteRPS)
+	if k.State.ValueKB < 4 {
+		fail("cluster.state.value_kb: %v is too small for a job's record (4 at least)", k.State.ValueKB)
+	}
+	if k.State.TxnOps < 4 {
+		fail("cluster.state.txn_ops: %d is too small (4 at least)", k.State.TxnOps)
+	}
+	positive("cluster.cloud.rps", k.Cloud.RPS)
+	amount("cluster.cloud.list_lag_s", k.Cloud.ListLagS)
+	amount("cluster.resources.cores", k.Resources.Cores)
+	amount("cluster.resources.memory_mb", k.Resources.MemoryMB)
+	if k.Resources.FDLimit < 0 {
+		fail("cluster.resources.fd_limit: %d must be 0 or more", k.Resources.FDLimit)
+	}
+	return errors.Join(errs...)
+}
+
+// A property is one key of the operators' file.
+type property struct {
+	doc   string
+	apply func(o *tuning.Operator, value string) error
+}
+
+func seconds(to func(*tuning.Operator) *time.Duration) func(*tuning.Operator, string) error {
+	return func(o *tuning.Operator, value string) error {
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0) || v > 86400 {
+			return fmt.Errorf("%q is not a number of seconds from 0 to 86400", value)
+		}
+		*to(o) = time.Duration(v * float64(time.Second))
+		return nil
+	}
+}
+
+var known = map[string]property{
+	"fleet.idle-return.seconds": {"seconds a machine may be idle before it is returned",
+		seconds(func(o *tuning.Operator) *time.Duration { return &o.IdleReturn })},
+	"fleet.spares-per-zone": {"idle machines kept in every zone, 0 to 1000",
+		func(o *tuning.Operator, value string) error {
+			v, err := strconv.Atoi(value)
+			if err != nil || v < 0 || v > 1000 {
+				return fmt.Errorf("%q is not a number from 0 to 1000", value)
+			}
+			o.SparesPerZone = v
+			return nil
+		}},
+	"queue.bar-after.seconds": {"seconds a gang waits before smaller jobs no longer pass it",
+		seconds(func(o *tuning.Operator) *time.Duration { return &o.BarAfter })},
+	"workers.direct-starts": {"true: starts go straight to workers; false: with their next report",
+		func(o *tuning.Operator, value string) error {
+			v, err := strconv.ParseBool(value)
+			if err != nil {
+				return fmt.Errorf("%q is neither true nor false", value)
+			}
+			o.DirectStarts = v
+			return nil
+		}},
+}
+
+// ParseProperties decodes and checks the operators' properties. A key that is
+// not known is an error: a setting that does nothing is worse than none.
+func ParseProperties(data []byte) (tuning.Operator, error) {
+	o := tuning.Defaults()
+	p, err := (&properties.Loader{Encoding: properties.UTF8, DisableExpansion: true}).LoadBytes(data)
+	if err != nil {
+		return o, err
+	}
+	var errs []error
+	for _, key := range p.Keys() {
+		k, ok := known[key]
+		if !ok {
+			errs = append(errs, fmt.Errorf("%s: no such key; known are %v", key, Keys()))
+			continue
+		}
+		value, _ := p.Get(key)
+		if err := k.apply(&o, value); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", key, err))
+		}
+	}
+	return o, errors.Join(errs...)
+}
+
+// Keys lists the operators' keys in order.
+func Keys() []string {
+	keys := make([]string, 0, len(known))
+	for k := range known {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Doc explains an operators' key.
+func Doc(key string) string { return known[key].doc }
--- /dev/null
+++ b/internal/coordination/commit.go
@@ -0,0 +1,451 @@
+package coordination
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// commit is the transaction under way. The leader has one at a time: what
+// changes meanwhile goes into the next, as a batch.
+type commit struct {
+	writer  string
+	body    []byte
+	probe   string // a key that it sets, by which a lost answer is found out
+	sent    time.Time
+	lost    bool // an answer was lost: it may have been applied
+	jobs    []*jobWrite
+	rooms   []*machine
+	deletes []string
+}
+
+// jobWrite is a job's part of a transaction.
+type jobWrite struct {
+	j       *job
+	records []int
+	final   *bookkeeping.Final
+	copies  []*taskCopy // placed by this transaction
+}
+
+// batch builds a transaction within the state service's limits.
+type batch struct {
+	l     *leader
+	txn   protocol.Txn
+	bytes int
+	tx    *commit
+	rooms map[*machine]bool // rooms guarded on
+}
+
+func (b *batch) room() int { return b.l.n.cfg.Cluster.State.TxnOps - len(b.txn.Then) }
+
+func (b *batch) fits(ops, conditions, bytes int) bool {
+	return b.room() >= ops && len(b.txn.If)+conditions <= 4*b.l.n.cfg.Cluster.State.TxnOps && b.bytes+bytes <= tuning.TxnBytes
+}
+
+func (b *batch) guard(key string, stamp uint64) {
+	b.txn.If = append(b.txn.If, protocol.Condition{Key: key, Stamp: stamp})
+	b.bytes += len(key) + 40
+}
+
+func (b *batch) set(key string, value json.RawMessage) {
+	b.txn.Then = append(b.txn.Then, protocol.Change{Set: key, Value: value})
+	b.bytes += len(key) + len(value) + 40
+	if b.tx.probe == "" {
+		b.tx.probe = key
+	}
+}
+
+func (b *batch) remove(key string) {
+	b.txn.Then = append(b.txn.Then, protocol.Change{Delete: key})
+	b.bytes += len(key) + 40
+}
+
+// commitNext sends the next transaction, if there is something to write.
+func (l *leader) commitNext() {
+	if l.inFlight != nil || l.n.now.Before(l.commitAt) || len(l.dirty)+len(l.rooms)+len(l.cleanup) == 0 {
+		return
+	}
+	if l.n.writes.TokensAt(l.n.now) < 1 {
+		return
+	}
+	tx := &commit{writer: l.n.unique(), sent: l.n.now}
+	b := &batch{l: l, tx: tx, rooms: map[*machine]bool{}}
+	b.guard(bookkeeping.ClaimKey, l.n.claim.term)
+	var later []*job
+	for _, j := range l.dirty {
+		j.queued = false
+		if j.gone || len(j.dirty) == 0 {
+			continue
+		}
+		b.addJob(j)
+		if len(j.dirty) > 0 {
+			j.queued = true
+			later = append(later, j)
+		}
+	}
+	l.dirty = later
+	var rooms []*machine
+	for _, m := range l.rooms {
+		if m.deleting || l.machines[m.id] != m {
+			m.queued = false
+			continue
+		}
+		value := bookkeeping.Encode(m.room(tx.writer))
+		if m.typeName == "" || b.rooms[m] || !b.fits(1, 1, len(value)+200) {
+			rooms = append(rooms, m)
+			continue
+		}
+		m.queued, m.writing = false, true
+		b.guard(bookkeeping.MachineKey(m.id), m.stamp)
+		b.set(bookkeeping.MachineKey(m.id), value)
+		tx.rooms = append(tx.rooms, m)
+	}
+	l.rooms = rooms
+	for len(l.cleanup) > 0 && b.fits(1, 0, 200) {
+		b.remove(l.cleanup[0])
+		tx.deletes = append(tx.deletes, l.cleanup[0])
+		l.cleanup = l.cleanup[1:]
+	}
+	if len(b.txn.Then) == 0 {
+		return
+	}
+	l.n.writes.AllowN(l.n.now, min(len(b.txn.Then), l.n.writes.Burst()))
+	tx.body = bookkeeping.Encode(b.txn)
+	l.inFlight = tx
+	l.send(tx)
+}
+
+// addJob adds as much of a job as fits. A job's own record goes last, so that
+// a gang's new epoch shows only when every task's place is written.
+func (b *batch) addJob(j *job) {
+	if phase := j.finalPhase(); phase != "" {
+		f := &bookkeeping.Final{Writer: b.tx.writer, Phase: phase, Done: j.done}
+		if !b.fits(2, 2, 400) {
+			return
+		}
+		b.guard(bookkeeping.JobKey(j.id), j.stamps[0])
+		b.guard(bookkeeping.FinalKey(j.id), 0)
+		b.set(bookkeeping.FinalKey(j.id), bookkeeping.Encode(f))
+		b.remove(bookkeeping.JobKey(j.id))
+		clear(j.dirty)
+		j.writing = true
+		b.tx.jobs = append(b.tx.jobs, &jobWrite{j: j, final: f})
+		return
+	}
+	w := &jobWrite{j: j}
+	var records []int
+	for r := range j.dirty {
+		records = append(records, r)
+	}
+	slices.Sort(records)
+	// The first record carries the counts: it is always written, and last.
+	if records[0] == 0 {
+		records = records[1:]
+	}
+	for _, r := range append(records, 0) {
+		tasks, copies := j.record(r)
+		var value json.RawMessage
+		if r == 0 {
+			if len(w.records) < len(records) {
+				break // further records first
+			}
+			value = bookkeeping.Encode(j.header(b.tx.writer, tasks))
+		} else {
+			value = bookkeeping.Encode(bookkeeping.Chunk{Writer: b.tx.writer, Tasks: tasks})
+		}
+		conditions := 1
+		for _, c := range copies {
+			if !b.rooms[c.m] {
+				conditions++
+			}
+		}
+		if !b.fits(1, conditions, len(value)+conditions*80) {
+			break
+		}
+		key := bookkeeping.JobKey(j.id)
+		if r > 0 {
+			key = bookkeeping.ChunkKey(j.id, r)
+		}
+		b.guard(key, j.stamps[r])
+		b.set(key, value)
+		for _, c := range copies {
+			if !b.rooms[c.m] {
+				b.rooms[c.m] = true
+				b.guard(bookkeeping.MachineKey(c.m.id), c.m.stamp)
+			}
+		}
+		w.records = append(w.records, r)
+		w.copies = append(w.copies, copies...)
+		delete(j.dirty, r)
+	}
+	if len(w.records) > 0 {
+		if w.records[len(w.records)-1] != 0 {
+			j.dirty[0] = true
+		}
+		j.writing = true
+		b.tx.jobs = append(b.tx.jobs, w)
+	}
+}
+
+// finalPhase is the phase in which the job has ended, or "".
+func (j *job) finalPhase() string {
+	switch {
+	case j.cancelled && len(j.copies) == 0:
+		return protocol.PhaseCancelled
+	case !j.cancelled && j.complete():
+		return protocol.PhaseDone
+	}
+	return ""
+}
+
+// record lists the tasks of one of the job's records and the copies that it
+// places.
+func (j *job) record(r int) (tasks []bookkeeping.Task, copies []*taskCopy) {
+	for i := r * j.chunk; i < min((r+1)*j.chunk, len(j.tasks)); i++ {
+		t := &j.tasks[i]
+		if t.attempt == 0 && !t.done {
+			continue
+		}
+		rec := bookkeeping.Task{Index: i, Attempt: t.attempt, Done: t.done}
+		if c := t.active; c != nil && !t.done {
+			rec.Machine, rec.Session = c.m.id, c.session
+			if !c.committed {
+				copies = append(copies, c)
+			}
+		}
+		tasks = append(tasks, rec)
+	}
+	return tasks, copies
+}
+
+func (j *job) header(writer string, tasks []bookkeeping.Task) bookkeeping.Job {
+	placed := 0
+	for i := range j.tasks {
+		if j.tasks[i].active != nil && !j.tasks[i].done {
+			placed++
+		}
+	}
+	return bookkeeping.Job{Writer: writer, Spec: j.spec, AtMs: j.at.UnixMilli(), Seq: j.seq, Attempt: j.attempt,
+		Cancelled: j.cancelled, Done: j.done, Placed: placed, Chunk: j.chunk, Tasks: tasks}
+}
+
+func (l *leader) send(tx *commit) {
+	l.n.state("POST", protocol.PathTxn, tx.body, func(status int, body []byte) {
+		if l.n.lead != l {
+			return
+		}
+		a, sound := parse[protocol.TxnAnswer](body)
+		switch {
+		case status == 200 && sound:
+			l.committed(tx, a.Revision)
+		case status == 409 && sound && tx.lost && tx.probe != "":
+			l.findOut(tx)
+		case status == 409 && sound:
+			l.conflict(tx, a.Failed)
+		case status == 0:
+			// The transaction may have been applied, or may be yet. The same
+			// one again can be applied only once.
+			tx.lost = true
+			l.resend(tx)
+		case status == 400:
+			l.n.log.Error("transaction refused", "body", string(body))
+			l.conflict(tx, nil)
+			l.commitAt = l.n.now.Add(time.Second)
+		default:
+			l.resend(tx)
+		}
+	})
+}
+
+// resend sends the same transaction again after a pause.
+func (l *leader) resend(tx *commit) {
+	l.n.after(tuning.RetryPause, func() {
+		if l.n.lead == l {
+			l.send(tx)
+		}
+	})
+}
+
+// findOut reads back whether a transaction whose answer was lost was applied.
+func (l *leader) findOut(tx *commit) {
+	l.n.state("GET", protocol.KeyPath(tx.probe), nil, func(status int, body []byte) {
+		if l.n.lead != l {
+			return
+		}
+		switch status {
+		case 200:
+			e, sound := parse[protocol.Entry](body)
+			w, ok := parse[struct {
+				Writer string `json:"w"`
+			}](e.Value)
+			if sound && ok && w.Writer == tx.writer {
+				l.committed(tx, e.Stamp)
+				return
+			}
+			l.conflict(tx, nil)
+		case 404:
+			l.conflict(tx, nil)
+		default:
+			l.n.after(tuning.RetryPause, func() {
+				if l.n.lead == l {
+					l.findOut(tx)
+				}
+			})
+		}
+	})
+}
+
+func (l *leader) committed(tx *commit, revision uint64) {
+	l.inFlight = nil
+	l.n.metrics.Commits++
+	l.n.metrics.CommitSeconds = append(l.n.metrics.CommitSeconds, l.n.now.Sub(tx.sent).Seconds())
+	for _, m := range tx.rooms {
+		m.writing = false
+		m.stamp = max(m.stamp, revision)
+		l.plan = true
+	}
+	for _, w := range tx.jobs {
+		j := w.j
+		j.writing = false
+		if w.final != nil {
+			l.finish(j, *w.final)
+			continue
+		}
+		for _, r := range w.records {
+			j.stamps[r] = max(j.stamps[r], revision)
+		}
+		for _, c := range w.copies {
+			if j.copies[c.key] != c {
+				continue
+			}
+			c.committed = true
+			c.m.urgent = true
+		}
+		for _, c := range w.copies {
+			if c.stop && !c.sent {
+				l.drop(c) // stopped before its start could leave
+			}
+		}
+		for _, c := range j.copies {
+			c.m.urgent = true // a gang's starts wait for all of its records
+		}
+		l.settle(j)
+	}
+	l.sendDirect()
+	l.commitNext()
+}
+
+// finish forgets a job whose final record is committed.
+func (l *leader) finish(j *job, f bookkeeping.Final) {
+	j.gone = true
+	clear(j.dirty)
+	delete(l.jobs, j.id)
+	l.n.keepFinal(j.id, f)
+	for r := 1; r < len(j.stamps); r++ {
+		if j.stamps[r] != 0 {
+			l.cleanup = append(l.cleanup, bookkeeping.ChunkKey(j.id, r))
+		}
+	}
+	l.plan = true
+}
+
+// conflict undoes a transaction that was refused: the loser plans again.
+func (l *leader) conflict(tx *commit, failed []string) {
+	l.inFlight = nil
+	l.n.metrics.CommitConflicts++
+	for _, k := range failed {
+		if k == bookkeeping.ClaimKey {
+			l.n.stepDown("claim is no longer ours")
+			return
+		}
+	}
+	l.cleanup = append(l.cleanup, tx.deletes...)
+	for _, m := range tx.rooms {
+		m.writing = false
+		l.writeRoom(m)
+		l.reread(bookkeeping.MachineKey(m.id))
+	}
+	for _, w := range tx.jobs {
+		j := w.j
+		j.writing = false
+		if w.final != nil {
+			w.records = []int{0}
+		}
+		for _, r := range w.records {
+			l.touch(j, r)
+		}
+		for _, c := range w.copies {
+			if j.copies[c.key] == c && !c.committed {
+				l.drop(c)
+			}
+		}
+		l.reread(bookkeeping.JobKey(j.id))
+		for _, r := range w.records {
+			if r > 0 {
+				l.reread(bookkeeping.ChunkKey(j.id, r))
+			}
+		}
+	}
+	l.commitAt = l.n.now.Add(tuning.ConflictPause)
+	l.plan = true
+}
+
+// reread looks up the present revision of a key whose guard may have failed.
+func (l *leader) reread(key string) {
+	l.n.state("GET", protocol.KeyPath(key), nil, func(status int, body []byte) {
+		if l.n.lead != l || status != 200 && status != 404 {
+			return
+		}
+		var e protocol.Entry
+		if status == 200 {
+			var ok bool
+			if e, ok = parse[protocol.Entry](body); !ok {
+				return
+			}
+		}
+		if id, n, ok := bookkeeping.SplitChunkKey(key); ok {
+			if j := l.jobs[id]; j != nil && n < len(j.stamps) {
+				j.stamps[n] = e.Stamp
+			}
+			return
+		}
+		if id, ok := strings.CutPrefix(key, bookkeeping.MachinePrefix); ok {
+			if m := l.machines[id]; m != nil {
+				m.stamp = e.Stamp
+			}
+			return
+		}
+		id, _ := strings.CutPrefix(key, bookkeeping.JobPrefix)
+		j := l.jobs[id]
+		if j == nil {
+			return
+		}
+		if status == 404 {
+			// Its final record was written by a transaction thought lost.
+			l.n.lookUpFinal(l, j)
+			return
+		}
+		if rec, err := bookkeeping.DecodeJob(e.Value); err == nil {
+			l.merge(j, rec, e.Stamp)
+		}
+	})
+}
+
+// lookUpFinal finishes a job whose record has turned out to be gone.
+func (n *Node) lookUpFinal(l *leader, j *job) {
+	n.state("GET", protocol.KeyPath(bookkeeping.FinalKey(j.id)), nil, func(status int, body []byte) {
+		if n.lead != l || status != 200 || j.gone {
+			return
+		}
+		e, ok := parse[protocol.Entry](body)
+		f, sound := parse[bookkeeping.Final](e.Value)
+		if ok && sound && f.Phase != "" {
+			l.finish(j, f)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/election.go
@@ -0,0 +1,169 @@
+package coordination
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// claimState is what a node knows of the leader's claim.
+type claimState struct {
+	holder string // the claim's node, "" while nobody holds it
+	stamp  uint64 // the claim's revision, 0 while nobody holds it
+
+	trying  bool
+	retryAt time.Time
+
+	// While this node holds the claim.
+	term     uint64
+	lease    uint64
+	renewed  time.Time // when the last renewal that succeeded was sent
+	renewing bool
+	renewAt  time.Time
+}
+
+// grace is how long a leader that cannot renew its claim goes on answering
+// reports: as long as a worker that it kept alive is still gone before the
+// time in which a cancellation must take effect.
+func (n *Node) grace() time.Duration {
+	w := n.cfg.Cluster.Workers
+	g := seconds(w.CancelS-w.LeaseS) - tuning.AuthorityMargin
+	return min(max(g, 0), tuning.MaxGrace)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// withDrift stretches a span by the largest disagreement of two clocks.
+func withDrift(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*tuning.ClockDrift)
+}
+
+// claimSeen notes the claim as it now stands.
+func (n *Node) claimSeen(value json.RawMessage, stamp uint64) {
+	var c bookkeeping.Claim
+	if json.Unmarshal(value, &c) != nil {
+		n.log.Error("claim does not parse", "value", string(value))
+	}
+	n.claim.holder, n.claim.stamp = c.Node, stamp
+	if n.claim.term == 0 {
+		return
+	}
+	switch {
+	case stamp > n.claim.term:
+		n.stepDown("claim taken over")
+	case stamp == n.claim.term && n.lead == nil:
+		// The mirror has now seen everything that came before the claim.
+		n.takeOver()
+	}
+}
+
+// claimGone notes that nobody holds the claim.
+func (n *Node) claimGone() {
+	n.claim.holder, n.claim.stamp = "", 0
+	if n.claim.term != 0 {
+		n.stepDown("claim lapsed")
+	}
+	n.claim.retryAt = n.now.Add(n.jitter(tuning.ClaimJitter))
+}
+
+func (n *Node) jitter(d time.Duration) time.Duration {
+	return time.Duration(n.rng.Int64N(int64(d)))
+}
+
+func (n *Node) tickElection() {
+	c := &n.claim
+	if c.term != 0 {
+		n.tickClaim()
+		return
+	}
+	// A claim under this node's own name that it does not hold is a dead
+	// predecessor's, or its own attempt whose answer was lost.
+	free := c.stamp == 0 || c.holder == n.cfg.Name
+	if !n.mirror.Ready() || !free || c.trying || n.now.Before(c.retryAt) {
+		return
+	}
+	c.trying = true
+	expect := c.stamp
+	fail := func() {
+		c.trying = false
+		c.retryAt = n.now.Add(tuning.ClaimRetry + n.jitter(tuning.ClaimJitter))
+	}
+	sent := n.now
+	n.state("POST", protocol.PathLeases, protocol.LeaseRequest{TTLMs: tuning.ClaimTTL.Milliseconds()}, func(status int, body []byte) {
+		var l protocol.LeaseAnswer
+		if status != 200 || json.Unmarshal(body, &l) != nil || l.Lease == 0 {
+			fail()
+			return
+		}
+		txn := protocol.Txn{
+			If: []protocol.Condition{{Key: bookkeeping.ClaimKey, Stamp: expect}},
+			Then: []protocol.Change{{Set: bookkeeping.ClaimKey, Lease: l.Lease,
+				Value: bookkeeping.Encode(bookkeeping.Claim{Node: n.cfg.Name, Boot: n.unique()})}},
+		}
+		n.state("POST", protocol.PathTxn, txn, func(status int, body []byte) {
+			var a protocol.TxnAnswer
+			if status != 200 || json.Unmarshal(body, &a) != nil || a.Revision == 0 {
+				fail()
+				return
+			}
+			c.trying = false
+			if c.stamp > a.Revision {
+				return // somebody has taken it over already
+			}
+			c.term, c.lease, c.renewed, c.renewAt = a.Revision, l.Lease, sent, n.now
+			n.log.Info("claim won", "term", c.term)
+			if c.stamp == c.term {
+				n.takeOver()
+			}
+		})
+	})
+}
+
+// tickClaim renews the claim and gives it up when its time is over.
+func (n *Node) tickClaim() {
+	c := &n.claim
+	if !n.entitled() {
+		n.stepDown("claim not renewed in time")
+		return
+	}
+	if c.renewing || n.now.Before(c.renewAt) {
+		return
+	}
+	c.renewing = true
+	sent, term := n.now, c.term
+	n.state("POST", protocol.RenewPath(c.lease), struct{}{}, func(status int, _ []byte) {
+		if c.term != term {
+			return
+		}
+		c.renewing = false
+		switch status {
+		case 200:
+			c.renewed = sent
+			c.renewAt = sent.Add(tuning.ClaimRenew)
+		case 404:
+			n.stepDown("claim's lease has ended")
+		default:
+			c.renewAt = n.now.Add(tuning.RetryPause)
+		}
+	})
+}
+
+// entitled says whether the node may act for the controllers: its claim was
+// renewed lately enough that a successor still counts with it.
+func (n *Node) entitled() bool {
+	return n.claim.term != 0 && n.now.Sub(n.claim.renewed) < tuning.ClaimTTL+n.grace()
+}
+
+func (n *Node) stepDown(why string) {
+	if n.claim.term == 0 {
+		return
+	}
+	n.log.Info("stepping down", "term", n.claim.term, "why", why)
+	n.claim.term, n.claim.lease, n.claim.renewing = 0, 0, false
+	n.claim.retryAt = n.now.Add(tuning.ClaimRetry + n.jitter(tuning.ClaimJitter))
+	n.lead = nil
+	n.setWriteShare()
+}
--- /dev/null
+++ b/internal/coordination/fleet.go
@@ -0,0 +1,422 @@
+package coordination
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+	"golang.org/x/time/rate"
+)
+
+// fleet is the leader's dealings with the cloud.
+type fleet struct {
+	calls    *rate.Limiter
+	demand   []demand
+	deleted  map[string]time.Time // names that are gone for certain
+	rentals  []*rental
+	refused  map[offer]time.Time
+	listing  bool
+	listAt   time.Time
+	rentAt   time.Time
+	deleting bool
+	deleteAt time.Time
+}
+
+// offer is what can be rented: a type in a zone, ordinary or spot.
+type offer struct {
+	typeName, zone string
+	spot           bool
+}
+
+// rental is a request under way.
+type rental struct {
+	offer offer
+	count int
+	body  protocol.Rental
+	tries int
+}
+
+// spareRoom is a machine, there or on its way, in the reckoning of demand.
+type spareRoom struct {
+	offer offer
+	left  room
+}
+
+func (l *leader) tickFleet() {
+	f := &l.fleet
+	if f.calls == nil {
+		rps := l.n.cfg.Cluster.Cloud.RPS
+		f.calls = rate.NewLimiter(rate.Limit(rps*tuning.CloudShare), max(1, int(rps)))
+		f.deleted, f.refused = map[string]time.Time{}, map[offer]time.Time{}
+	}
+	now := l.n.now
+	for _, m := range l.fleetOrder() {
+		l.judge(m)
+	}
+	if !f.deleting && !now.Before(f.deleteAt) {
+		l.sendDeletes()
+	}
+	if !f.listing && !now.Before(f.listAt) && f.calls.AllowN(now, 1) {
+		f.listing = true
+		l.list("")
+	}
+	if !now.Before(f.rentAt) && now.Sub(l.since) > tuning.RentAfterTakeover && len(l.n.types) > 0 {
+		f.rentAt = now.Add(tuning.RentEvery)
+		l.rent()
+	}
+}
+
+// judge decides whether a machine is to go.
+func (l *leader) judge(m *machine) {
+	if m.deleting {
+		return
+	}
+	now := l.n.now
+	t := l.kind(m)
+	switch {
+	case m.phase == protocol.MachineFailed:
+		l.delete(m, "failed")
+	case !m.reported && m.session == 0 && t != nil && now.Sub(m.born) > seconds(t.BootS*tuning.BootPatience)+tuning.BootSlack:
+		l.delete(m, "never came up")
+	case len(m.copies) > 0 || !m.reported || m.lapsed:
+	case m.noticed || m.distrust || m.closed:
+		l.delete(m, "emptied")
+	case m.hold == nil && now.Sub(m.idleSince) > l.n.cfg.Operator.IdleReturn && l.spares(m) > l.n.cfg.Operator.SparesPerZone:
+		l.delete(m, "idle")
+	}
+}
+
+// spares counts the idle machines in a machine's zone, itself included, for
+// which a cheaper one would not do as well.
+func (l *leader) spares(m *machine) int {
+	n := 0
+	for _, o := range l.machines {
+		if o.zone == m.zone && len(o.copies) == 0 && l.open(o) {
+			n++
+		}
+	}
+	return n
+}
+
+// delete marks a machine to be returned.
+func (l *leader) delete(m *machine, why string) {
+	if m.deleting {
+		return
+	}
+	m.deleting, m.why = true, why
+	l.n.log.Info("returning machine", "machine", m.id, "why", why)
+}
+
+func (l *leader) sendDeletes() {
+	f := &l.fleet
+	var names []string
+	for _, m := range l.fleetOrder() {
+		if m.deleting && len(names) < tuning.DeleteCount {
+			names = append(names, m.id)
+		}
+	}
+	if len(names) == 0 || !f.calls.AllowN(l.n.now, 1) {
+		return
+	}
+	f.deleting = true
+	l.n.request(ToCloud, "", "POST", protocol.PathDeleteMachines, protocol.MachineNames{Machines: names}, tuning.CloudTimeout, func(status int, _ []byte) {
+		if l.n.lead != l {
+			return
+		}
+		f.deleting = false
+		if status != 200 {
+			f.deleteAt = l.n.now.Add(time.Second)
+			return
+		}
+		for _, id := range names {
+			l.forget(id)
+		}
+	})
+}
+
+// forget takes a machine out that is gone for certain.
+func (l *leader) forget(id string) {
+	m := l.machines[id]
+	if m == nil {
+		return
+	}
+	l.fleet.deleted[id] = l.n.now
+	for _, c := range sortedCopies(m) {
+		l.drop(c)
+	}
+	delete(l.machines, id)
+	if m.stamp != 0 || m.writing {
+		l.cleanup = append(l.cleanup, bookkeeping.MachineKey(id))
+	}
+	l.plan = true
+}
+
+// list reads the machine list, page by page.
+func (l *leader) list(after string) {
+	f := &l.fleet
+	l.n.request(ToCloud, "", "GET", protocol.MachinesPath(after, tuning.ListPage), nil, tuning.CloudTimeout, func(status int, body []byte) {
+		if l.n.lead != l {
+			return
+		}
+		page, ok := parse[protocol.MachineList](body)
+		if status != 200 || !ok {
+			f.listing, f.listAt = false, l.n.now.Add(time.Second)
+			return
+		}
+		last := ""
+		for i := range page.Machines {
+			l.listed(&page.Machines[i])
+			last = page.Machines[i].ID
+		}
+		if page.More && last != "" {
+			l.list(last)
+			return
+		}
+		f.listing, f.listAt = false, l.n.now.Add(tuning.ListEvery)
+	})
+}
+
+// listed takes one machine of the list. Machines that nobody expected are
+// used like any other, and returned when they are idle.
+func (l *leader) listed(e *protocol.Machine) {
+	if e.ID == "" || strings.ContainsAny(e.ID, " /") {
+		return
+	}
+	if _, gone := l.fleet.deleted[e.ID]; gone {
+		return
+	}
+	m := l.machines[e.ID]
+	if m == nil {
+		m = l.machine(e.ID, e.Address, e.Type, e.Zone, e.Spot)
+		m.born = l.n.now.Add(-seconds(min(max(e.AgeS, 0), 1e6)))
+		if e.Phase == protocol.MachineRunning {
+			// It is up but has yet to report to this leader: it gets its time.
+			m.born = l.n.now
+		}
+	}
+	if m.address == "" {
+		m.address = e.Address
+	}
+	m.phase, m.listed = e.Phase, l.n.now
+}
+
+// rent asks for the machines that waiting jobs lack, beyond those that are
+// there, on their way or being emptied for them.
+func (l *leader) rent() {
+	f := &l.fleet
+	now := l.n.now
+	var rooms []*spareRoom
+	for _, m := range l.fleetOrder() {
+		t := l.kind(m)
+		if t == nil || m.deleting || m.closed || m.noticed || m.distrust {
+			continue
+		}
+		booting := !m.reported && m.stamp == 0
+		if !booting && !l.alive(m) {
+			continue
+		}
+		left := l.left(m)
+		for _, c := range m.copies {
+			if c.stop {
+				left.add(c.j.spec, 1)
+			}
+		}
+		rooms = append(rooms, &spareRoom{offer{m.typeName, m.zone, m.spot}, left})
+	}
+	for _, r := range f.rentals {
+		for range r.count {
+			rooms = append(rooms, &spareRoom{r.offer, fullRoom(l.n.types[r.offer.typeName])})
+		}
+	}
+	want := map[offer]int{}
+	for _, d := range f.demand {
+		if d.j.gone || d.j.cancelled {
+			continue
+		}
+		if d.j.spec.Gang() && d.j.spec.OneZone {
+			rooms = l.reckonGang(d, rooms, want)
+		} else {
+			rooms = l.reckonTasks(d, rooms, want)
+		}
+	}
+	f.demand = nil
+	l.plan = true
+	var offers []offer
+	for o := range want {
+		offers = append(offers, o)
+	}
+	slices.SortFunc(offers, func(a, b offer) int {
+		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.typeName, b.typeName), cachedFirst(a.spot, b.spot))
+	})
+	for _, o := range offers {
+		if !f.calls.AllowN(now, 1) {
+			return
+		}
+		n := min(want[o], tuning.RentCount)
+		r := &rental{offer: o, count: n, body: protocol.Rental{Request: l.n.unique(), Type: o.typeName, Zone: o.zone, Spot: o.spot, Count: n}}
+		f.rentals = append(f.rentals, r)
+		l.n.log.Info("renting", "type", o.typeName, "zone", o.zone, "spot", o.spot, "count", n)
+		l.sendRental(r)
+	}
+}
+
+// offers lists what could be rented for a job, the cheapest first.
+func (l *leader) offers(j *job, zone string) []offer {
+	type priced struct {
+		offer
+		price float64
+	}
+	var list []priced
+	for _, t := range l.n.types {
+		if !t.Fits(j.spec) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if zone != "" && z != zone || j.spec.Zone != "" && z != j.spec.Zone {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				o := offer{t.Name, z, spot}
+				if spot && !j.spec.Spot || l.n.now.Before(l.fleet.refused[o]) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				list = append(list, priced{o, price / float64(max(1, fullRoom(t).holds(j.spec, len(j.tasks))))})
+			}
+		}
+	}
+	load := map[string]int{}
+	for _, m := range l.machines {
+		load[m.zone]++
+	}
+	slices.SortFunc(list, func(a, b priced) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(load[a.zone], load[b.zone]), cmp.Compare(a.zone, b.zone), cmp.Compare(a.typeName, b.typeName))
+	})
+	out := make([]offer, len(list))
+	for i, p := range list {
+		out[i] = p.offer
+	}
+	return out
+}
+
+// reckonGang finds the zone where a gang lacks least and takes what it needs
+// there, room that is there first.
+func (l *leader) reckonGang(d demand, rooms []*spareRoom, want map[offer]int) []*spareRoom {
+	j := d.j
+	bestZone, bestLack, bestOffers := "", math.MaxInt, []offer(nil)
+	for _, z := range l.n.cfg.Cluster.Zones {
+		lack := d.tasks
+		for _, r := range rooms {
+			if r.offer.zone == z && allows(j.spec, r.offer.typeName, z, r.offer.spot) {
+				lack -= r.left.holds(j.spec, lack)
+			}
+		}
+		offers := l.offers(j, z)
+		if lack > 0 && len(offers) == 0 {
+			continue
+		}
+		if lack < bestLack {
+			bestZone, bestLack, bestOffers = z, lack, offers
+		}
+	}
+	if bestZone == "" {
+		return rooms
+	}
+	need := d.tasks
+	for _, r := range rooms {
+		if r.offer.zone == bestZone && allows(j.spec, r.offer.typeName, bestZone, r.offer.spot) {
+			n := r.left.holds(j.spec, need)
+			r.left.add(j.spec, -n)
+			need -= n
+		}
+	}
+	for need > 0 {
+		rooms = append(rooms, l.newRoom(bestOffers[0], j, &need, want))
+	}
+	return rooms
+}
+
+// reckonTasks takes room for tasks that may be anywhere.
+func (l *leader) reckonTasks(d demand, rooms []*spareRoom, want map[offer]int) []*spareRoom {
+	j := d.j
+	need := d.tasks
+	for _, r := range rooms {
+		if allows(j.spec, r.offer.typeName, r.offer.zone, r.offer.spot) {
+			n := r.left.holds(j.spec, need)
+			r.left.add(j.spec, -n)
+			need -= n
+		}
+	}
+	if need == 0 {
+		return rooms
+	}
+	offers := l.offers(j, "")
+	if len(offers) == 0 {
+		return rooms
+	}
+	for i := 0; need > 0; i++ {
+		// Equal offers in different zones take turns.
+		o := offers[0]
+		if j.spec.Spread && len(offers) > 1 {
+			o = offers[i%len(offers)]
+		}
+		rooms = append(rooms, l.newRoom(o, j, &need, want))
+	}
+	return rooms
+}
+
+func (l *leader) newRoom(o offer, j *job, need *int, want map[offer]int) *spareRoom {
+	r := &spareRoom{o, fullRoom(l.n.types[o.typeName])}
+	n := r.left.holds(j.spec, *need)
+	r.left.add(j.spec, -n)
+	*need -= n
+	want[o]++
+	return r
+}
+
+// sendRental sends a request. One whose answer is lost is sent again under the
+// same name: the cloud then gives the same machines.
+func (l *leader) sendRental(r *rental) {
+	f := &l.fleet
+	r.tries++
+	l.n.request(ToCloud, "", "POST", protocol.PathMachines, r.body, tuning.CloudTimeout, func(status int, body []byte) {
+		if l.n.lead != l {
+			return
+		}
+		names, ok := parse[protocol.MachineNames](body)
+		refused, _ := parse[protocol.ErrorBody](body)
+		switch {
+		case status == 200 && ok:
+			for _, id := range names.Machines {
+				if _, gone := f.deleted[id]; !gone && id != "" {
+					m := l.machine(id, "", r.offer.typeName, r.offer.zone, r.offer.spot)
+					m.born = l.n.now
+				}
+			}
+			if len(names.Machines) < r.count {
+				f.refused[r.offer] = l.n.now.Add(tuning.NoCapacityPause)
+			}
+		case status == 503 && refused.Error == protocol.NoCapacity:
+			f.refused[r.offer] = l.n.now.Add(tuning.NoCapacityPause)
+		case status != 400 && r.tries < tuning.RentTries:
+			l.n.after(time.Second, func() {
+				if l.n.lead == l {
+					l.sendRental(r)
+				}
+			})
+			return
+		default:
+			l.n.log.Error("rental failed", "status", status, "body", string(body))
+		}
+		f.rentals = slices.DeleteFunc(f.rentals, func(o *rental) bool { return o == r })
+		l.plan = true
+	})
+}
--- /dev/null
+++ b/internal/coordination/leader.go
@@ -0,0 +1,431 @@
+package coordination
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// leader is everything that only the leading controller knows. It is rebuilt
+// from the records at every takeover and dropped when the node steps down.
+type leader struct {
+	n     *Node
+	since time.Time
+
+	jobs     map[string]*job
+	machines map[string]*machine
+	teams    map[string]*team
+	waiting  int
+
+	dirty     []*job     // jobs with unwritten changes, in the order they came
+	rooms     []*machine // machines whose room record is to be written
+	cleanup   []string   // keys to delete when there is time
+	inFlight  *commit
+	commitAt  time.Time
+	plan      bool // something changed that placement may depend on
+	planAt    time.Time
+	fleet     fleet
+	directory time.Time
+}
+
+// team is a team's use of the machines.
+type team struct {
+	guaranteeCPUs, guaranteeGPUs float64
+	maxCPUs, maxGPUs             float64
+	cpus, gpus                   float64 // of every task that may be on a machine
+}
+
+// job is an unfinished job.
+type job struct {
+	id        string
+	spec      *protocol.Job
+	rank      protocol.Rank
+	seq       uint64
+	at        time.Time
+	attempt   uint64 // the gang's epoch
+	cancelled bool
+	chunk     int
+	tasks     []task
+	done      int
+	stamps    []uint64 // revision of every record, the first is the job's own
+
+	copies   map[copyKey]*taskCopy
+	dirty    map[int]bool // records that must be written
+	queued   bool         // in the leader's list of dirty jobs
+	writing  bool         // in the transaction under way
+	gone     bool         // the final record is committed
+	stopping bool         // the gang's attempt is being ended
+	ending   time.Time    // when the stop began
+	retryAt  time.Time
+	failures map[string]bool // machines on which a task failed
+	avoid    map[string]time.Time
+	waits    time.Time // since when something waits for its place
+	started  bool
+}
+
+// task is one task of a job. A task has at most one copy that it is waiting
+// for; older copies that may still be somewhere are in job.copies too.
+type task struct {
+	attempt uint64
+	done    bool
+	copies  int
+	active  *taskCopy
+	// where the record places it; kept until the record is written again
+	machine string
+	session uint64
+}
+
+type copyKey struct {
+	index   int
+	attempt uint64
+	machine string
+}
+
+// taskCopy is one attempt of a task on one machine, from the moment it is
+// planned until it is proven gone. While it exists it takes room and quota.
+type taskCopy struct {
+	j         *job
+	key       copyKey
+	m         *machine
+	session   uint64
+	slots     []int
+	committed bool
+	sent      bool   // a start may have left
+	state     string // as last reported, "" while never seen
+	since     time.Time
+	running   time.Time // when it was first seen running
+	pinned    bool      // a direct start was never answered: it may yet arrive
+	direct    int       // direct orders with its start under way
+	stop      bool
+	grace     float64
+	stopSent  time.Time
+	inReply   bool // its start is in the answer to the last report
+	stray     bool // no record asks for it
+}
+
+func (n *Node) takeOver() {
+	l := &leader{n: n, since: n.now, jobs: map[string]*job{}, machines: map[string]*machine{}, teams: map[string]*team{}, plan: true}
+	n.lead = l
+	n.setWriteShare()
+	for _, t := range n.cfg.Cluster.Teams {
+		l.teams[t.Name] = &team{guaranteeCPUs: t.CPUs, guaranteeGPUs: t.GPUs, maxCPUs: t.MaxCPUs, maxGPUs: t.MaxGPUs}
+	}
+	n.mirror.Each(bookkeeping.MachinePrefix, func(e protocol.Entry) {
+		var room bookkeeping.Room
+		if json.Unmarshal(e.Value, &room) != nil {
+			n.log.Error("room record does not parse", "key", e.Key)
+			return
+		}
+		m := l.machine(strings.TrimPrefix(e.Key, bookkeeping.MachinePrefix), room.Address, room.Type, room.Zone, room.Spot)
+		m.stamp, m.closed = e.Stamp, room.Closed
+	})
+	n.mirror.Each(bookkeeping.JobPrefix, func(e protocol.Entry) {
+		rec, err := bookkeeping.DecodeJob(e.Value)
+		if err != nil {
+			n.log.Error("job record does not parse", "key", e.Key, "error", err)
+			return
+		}
+		l.addJob(rec, e.Stamp)
+	})
+	n.mirror.Each(bookkeeping.TaskPrefix, func(e protocol.Entry) {
+		id, num, ok := bookkeeping.SplitChunkKey(e.Key)
+		j := l.jobs[id]
+		if !ok || j == nil || num >= len(j.stamps) {
+			l.cleanup = append(l.cleanup, e.Key) // left by a finished job
+			return
+		}
+		var c bookkeeping.Chunk
+		if json.Unmarshal(e.Value, &c) != nil {
+			n.log.Error("task record does not parse", "key", e.Key)
+			return
+		}
+		j.stamps[num] = e.Stamp
+		l.addTasks(j, c.Tasks)
+	})
+	slices.Sort(l.cleanup)
+	// Jobs and machines come out of the mirror in no order; what follows must
+	// not depend on that.
+	for _, j := range l.ordered() {
+		l.settle(j)
+	}
+	n.log.Info("leading", "term", n.claim.term, "jobs", len(l.jobs), "machines", len(l.machines))
+}
+
+// ordered lists the jobs in order of priority and arrival.
+func (l *leader) ordered() []*job {
+	list := make([]*job, 0, len(l.jobs))
+	for _, j := range l.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.seq, b.seq), cmp.Compare(a.id, b.id))
+	})
+	return list
+}
+
+// fleetOrder lists the machines by name, which is the order of their creation.
+func (l *leader) fleetOrder() []*machine {
+	list := make([]*machine, 0, len(l.machines))
+	for _, m := range l.machines {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *machine) int { return cmp.Compare(a.id, b.id) })
+	return list
+}
+
+func (l *leader) addJob(rec *bookkeeping.Job, stamp uint64) *job {
+	s := rec.Spec
+	j := &job{
+		id: s.ID, spec: s, rank: s.Rank(), seq: rec.Seq, at: time.UnixMilli(rec.AtMs),
+		attempt: rec.Attempt, cancelled: rec.Cancelled, chunk: rec.Chunk,
+		tasks:  make([]task, s.Tasks),
+		stamps: make([]uint64, (s.Tasks+rec.Chunk-1)/rec.Chunk),
+		copies: map[copyKey]*taskCopy{}, dirty: map[int]bool{},
+		failures: map[string]bool{}, avoid: map[string]time.Time{},
+		waits: l.n.now,
+	}
+	if j.seq == 0 {
+		j.seq = stamp // never written since its submission
+	}
+	j.stamps[0] = stamp
+	l.jobs[j.id] = j
+	l.addTasks(j, rec.Tasks)
+	return j
+}
+
+func (l *leader) addTasks(j *job, tasks []bookkeeping.Task) {
+	for _, t := range tasks {
+		if t.Index < 0 || t.Index >= len(j.tasks) {
+			continue
+		}
+		jt := &j.tasks[t.Index]
+		jt.attempt = t.Attempt
+		if t.Done && !jt.done {
+			jt.done = true
+			j.done++
+		}
+		if t.Machine == "" || t.Done {
+			continue
+		}
+		m := l.machine(t.Machine, "", "", "", false)
+		c := l.addCopy(j, t.Index, t.Attempt, m, t.Session)
+		c.committed, c.sent = true, true
+		jt.active = c
+		j.started = true
+		m.session = max(m.session, t.Session)
+	}
+}
+
+// addCopy enters a copy into every account.
+func (l *leader) addCopy(j *job, index int, attempt uint64, m *machine, session uint64) *taskCopy {
+	c := &taskCopy{j: j, key: copyKey{index, attempt, m.id}, m: m, session: session, since: l.n.now}
+	c.slots = m.slots.carve(taskSlots(j.spec))
+	j.copies[c.key] = c
+	j.tasks[index].copies++
+	m.copies[taskKey{j.id, index, attempt}] = c
+	m.take(j.spec, 1)
+	if t := l.teams[j.spec.Team]; t != nil {
+		t.cpus += j.spec.CPUs
+		t.gpus += j.spec.GPUs
+	}
+	return c
+}
+
+// drop takes a copy that is proven gone out of every account.
+func (l *leader) drop(c *taskCopy) {
+	j, m := c.j, c.m
+	if j.copies[c.key] != c {
+		return
+	}
+	delete(j.copies, c.key)
+	delete(m.copies, taskKey{j.id, c.key.index, c.key.attempt})
+	m.slots.release(c.slots)
+	m.take(j.spec, -1)
+	if len(m.copies) == 0 {
+		m.idleSince = l.n.now
+	}
+	if t := l.teams[j.spec.Team]; t != nil {
+		t.cpus -= j.spec.CPUs
+		t.gpus -= j.spec.GPUs
+	}
+	t := &j.tasks[c.key.index]
+	t.copies--
+	if t.active == c {
+		t.active = nil
+		j.waits = l.n.now
+	}
+	l.plan = true
+	if j.spec.Gang() && !c.stray && !j.complete() && !j.stopping && len(j.copies) > 0 {
+		l.endGang(j, 0)
+	}
+	l.settle(j)
+}
+
+// complete says whether all tasks are done.
+func (j *job) complete() bool { return j.done == len(j.tasks) }
+
+// settle looks whether a job's attempt, or the whole job, is over.
+func (l *leader) settle(j *job) {
+	if j.gone {
+		return
+	}
+	if j.stopping && len(j.copies) == 0 {
+		j.stopping = false
+		l.plan = true
+	}
+	switch {
+	case j.cancelled:
+		for _, c := range j.list() {
+			l.stop(c, 0)
+		}
+		if len(j.copies) == 0 {
+			l.touch(j, 0)
+		}
+	case j.complete():
+		l.touch(j, 0)
+	case j.spec.Gang() && len(j.copies) > 0 && !j.stopping && l.broken(j):
+		l.endGang(j, 0)
+	}
+}
+
+// broken says whether a gang's attempt can no longer become whole.
+func (l *leader) broken(j *job) bool {
+	whole := 0
+	for _, c := range j.copies {
+		if c.stray {
+			continue // an older attempt that is being ended
+		}
+		if c.key.attempt != j.attempt {
+			return true
+		}
+		whole++
+	}
+	return whole > 0 && whole != len(j.tasks)
+}
+
+// list is the job's copies in a fixed order.
+func (j *job) list() []*taskCopy {
+	list := make([]*taskCopy, 0, len(j.copies))
+	for _, c := range j.copies {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b *taskCopy) int {
+		return cmp.Or(cmp.Compare(a.key.index, b.key.index), cmp.Compare(a.key.attempt, b.key.attempt), cmp.Compare(a.key.machine, b.key.machine))
+	})
+	return list
+}
+
+// endGang ends a gang's attempt: every copy is told to stop at once, so that
+// an orderly stop reaches all of them within the gang's patience.
+func (l *leader) endGang(j *job, grace float64) {
+	j.stopping, j.ending = true, l.n.now
+	for _, c := range j.list() {
+		l.stop(c, grace)
+	}
+}
+
+// stop asks a copy to end. A copy whose start never left is gone at once,
+// unless the transaction that places it is still under way.
+func (l *leader) stop(c *taskCopy, grace float64) {
+	if !c.stop || grace < c.grace {
+		c.stop, c.grace, c.stopSent = true, grace, time.Time{}
+	}
+	if !c.sent && !(c.j.writing && !c.committed) {
+		l.drop(c)
+		return
+	}
+	c.m.urgent = true
+}
+
+// setDone notes that a task has completed. The tasks of a gang complete
+// together: if one is done, every one is.
+func (l *leader) setDone(j *job, index int) {
+	if j.gone || j.tasks[index].done {
+		return
+	}
+	mark := func(i int) {
+		if !j.tasks[i].done {
+			j.tasks[i].done = true
+			j.done++
+			l.touch(j, i/j.chunk)
+		}
+	}
+	if j.spec.Gang() {
+		for i := range j.tasks {
+			mark(i)
+		}
+	} else {
+		mark(index)
+	}
+	l.plan = true
+}
+
+// touch marks one of a job's records as to be written.
+func (l *leader) touch(j *job, record int) {
+	if j.gone {
+		return
+	}
+	j.dirty[record] = true
+	if !j.queued {
+		j.queued = true
+		l.dirty = append(l.dirty, j)
+	}
+}
+
+// changed takes a change of a record that the watch saw.
+func (l *leader) changed(ev *protocol.WatchEvent) {
+	id, ok := strings.CutPrefix(ev.Set, bookkeeping.JobPrefix)
+	if !ok {
+		return
+	}
+	j := l.jobs[id]
+	if j != nil && ev.Stamp <= j.stamps[0] {
+		return
+	}
+	rec, err := bookkeeping.DecodeJob(ev.Value)
+	if err != nil {
+		l.n.log.Error("job record does not parse", "key", ev.Set, "error", err)
+		return
+	}
+	if j == nil {
+		l.addJob(rec, ev.Stamp)
+		l.settle(l.jobs[id])
+		l.plan = true
+		return
+	}
+	if l.inFlight != nil && rec.Writer == l.inFlight.writer {
+		return // our own write, whose answer is on its way
+	}
+	l.merge(j, rec, ev.Stamp)
+}
+
+// merge takes what a sibling may have written: a cancellation.
+func (l *leader) merge(j *job, rec *bookkeeping.Job, stamp uint64) {
+	j.stamps[0] = max(j.stamps[0], stamp)
+	if rec.Cancelled && !j.cancelled {
+		j.cancelled = true
+		l.plan = true
+		l.settle(j)
+	}
+}
+
+func (l *leader) tick() {
+	l.tickMachines()
+	if l.n.lead != l {
+		return
+	}
+	if l.plan && !l.n.now.Before(l.planAt) || l.n.now.Sub(l.planAt) > tuning.PlanIdle {
+		l.plan = false
+		l.planAt = l.n.now.Add(tuning.PlanEvery)
+		l.schedule()
+	}
+	l.tickFleet()
+	l.commitNext()
+	l.sendDirect()
+}
--- /dev/null
+++ b/internal/coordination/node.go
@@ -0,0 +1,460 @@
+// Package coordination is the state machine at the heart of every controller:
+// election, users' requests, workers' sessions, placement, repair and fleet.
+// It is deterministic: time and events go in, actions come out. It starts no
+// goroutine, reads no clock and does no I/O.
+package coordination
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+	"golang.org/x/time/rate"
+)
+
+// Target is the outside system that a request goes to.
+type Target int
+
+// The outside systems.
+const (
+	ToState Target = iota
+	ToCloud
+	ToWorker
+)
+
+// Action is something the owner must do for the node.
+type Action interface{ action() }
+
+// Request calls an outside system. Exactly one Response with its ID follows.
+type Request struct {
+	ID      uint64
+	To      Target
+	Address string // of a worker
+	Method  string
+	Path    string
+	Body    []byte
+	Timeout time.Duration
+}
+
+// Reply answers a user or a worker.
+type Reply struct {
+	ID         uint64
+	Status     int
+	Body       []byte
+	RetryAfter time.Duration
+}
+
+// PeerSend sends a message to a sibling, if there is a link.
+type PeerSend struct {
+	Peer    string
+	Message protocol.PeerMessage
+}
+
+// PeerReset closes a link that has gone silent, so that it is dialled anew.
+type PeerReset struct{ Peer string }
+
+func (Request) action()   {}
+func (Reply) action()     {}
+func (PeerSend) action()  {}
+func (PeerReset) action() {}
+
+// Event is something that happened to the node.
+type Event interface{ event() }
+
+// Response ends a Request. Status 0: no answer came, the request may have been
+// executed or may yet be.
+type Response struct {
+	ID     uint64
+	Status int
+	Body   []byte
+}
+
+// Submit is a user's valid submission.
+type Submit struct {
+	ID  uint64
+	Job *protocol.Job
+}
+
+// Query is a user's poll.
+type Query struct {
+	ID  uint64
+	Job string
+}
+
+// Cancel is a user's cancellation.
+type Cancel struct {
+	ID  uint64
+	Job string
+}
+
+// WorkerReport is a worker's report that this node was sent.
+type WorkerReport struct {
+	ID     uint64
+	Report *protocol.Report
+}
+
+// PeerUp and PeerDown say that a link to a sibling exists or no longer does.
+type PeerUp struct{ Peer string }
+
+// PeerDown says that the last link to a sibling is gone.
+type PeerDown struct{ Peer string }
+
+// PeerReceive is a message from a sibling.
+type PeerReceive struct {
+	Peer    string
+	Message protocol.PeerMessage
+}
+
+func (Response) event()     {}
+func (Submit) event()       {}
+func (Query) event()        {}
+func (Cancel) event()       {}
+func (WorkerReport) event() {}
+func (PeerUp) event()       {}
+func (PeerDown) event()     {}
+func (PeerReceive) event()  {}
+
+// Node is one controller.
+type Node struct {
+	cfg  *config.Config
+	log  *slog.Logger
+	rng  *rand.Rand
+	boot string
+
+	now     time.Time
+	out     []Action
+	nextID  uint64
+	pending map[uint64]func(status int, body []byte)
+	writes  *rate.Limiter
+	metrics Metrics
+
+	types   map[string]*protocol.MachineType
+	typesAt time.Time
+
+	mirror   bookkeeping.Mirror
+	loading  bool
+	watching bool
+	watchAt  time.Time // when the watch may be opened again
+	loadAt   time.Time
+	stateOK  bool // the last finished state request was executed
+	stateAt  time.Time
+
+	finals map[string]bookkeeping.Final
+	polls  []poll
+	pollAt time.Time
+
+	timers []timer
+
+	claim claimState
+	lead  *leader
+
+	peers      map[string]*peer
+	beatAt     time.Time
+	carried    map[uint64]carried
+	redirected map[string]time.Time
+}
+
+// New makes a node. The seed feeds its random pauses; boot tells this life of
+// the process from earlier ones.
+func New(cfg *config.Config, log *slog.Logger, seed uint64, boot string) *Node {
+	n := &Node{
+		cfg: cfg, log: log, boot: boot,
+		rng:        rand.New(rand.NewPCG(seed, 1)),
+		pending:    map[uint64]func(int, []byte){},
+		types:      map[string]*protocol.MachineType{},
+		finals:     map[string]bookkeeping.Final{},
+		peers:      map[string]*peer{},
+		carried:    map[uint64]carried{},
+		redirected: map[string]time.Time{},
+	}
+	for _, s := range cfg.Siblings {
+		n.peers[s.Name] = &peer{}
+	}
+	n.setWriteShare()
+	return n
+}
+
+// setWriteShare divides the state service's write budget: most of it for the
+// leader, the rest for submissions and cancellations at the others.
+func (n *Node) setWriteShare() {
+	total := n.cfg.Cluster.State.WriteRPS
+	share := 1.0
+	if others := len(n.cfg.Siblings); others > 0 {
+		share = (1 - tuning.LeaderShare) / float64(others)
+		if n.lead != nil {
+			share = tuning.LeaderShare
+		}
+	}
+	limit := total * share
+	n.writes = rate.NewLimiter(rate.Limit(limit), max(n.cfg.Cluster.State.TxnOps, int(limit)))
+}
+
+// Metrics are the node's counters, read after a step.
+type Metrics struct {
+	Term, Commits, CommitConflicts, Sheds, Repairs, Preemptions, Starts uint64
+	Machines, Waiting, Running                                          int
+	CommitSeconds, WaitSeconds                                          []float64 // since the last step
+}
+
+// TakeMetrics returns the counters and forgets the observations.
+func (n *Node) TakeMetrics() Metrics {
+	m := n.metrics
+	n.metrics.CommitSeconds, n.metrics.WaitSeconds = nil, nil
+	if n.lead != nil {
+		m.Machines, m.Waiting = len(n.lead.machines), n.lead.waiting
+		m.Term = n.claim.term
+	}
+	return m
+}
+
+// Leading says whether the node leads.
+func (n *Node) Leading() bool { return n.lead != nil }
+
+// Step takes events and the present time and returns what is to be done.
+func (n *Node) Step(now time.Time, events []Event) []Action {
+	n.now, n.out = now, nil
+	for _, e := range events {
+		n.handle(e)
+	}
+	n.tick()
+	return n.out
+}
+
+func (n *Node) handle(e Event) {
+	switch e := e.(type) {
+	case Response:
+		if done := n.pending[e.ID]; done != nil {
+			delete(n.pending, e.ID)
+			done(e.Status, e.Body)
+		}
+	case Submit:
+		n.submit(e.ID, e.Job)
+	case Query:
+		n.query(e.ID, e.Job)
+	case Cancel:
+		n.cancel(e.ID, e.Job)
+	case WorkerReport:
+		n.routeReport(e.ID, e.Report)
+	case PeerUp:
+		n.peerUp(e.Peer)
+	case PeerDown:
+		n.peerDown(e.Peer)
+	case PeerReceive:
+		n.peerReceive(e.Peer, e.Message)
+	}
+}
+
+func (n *Node) tick() {
+	n.tickTimers()
+	n.tickMirror()
+	n.tickTypes()
+	n.tickElection()
+	n.tickPeers()
+	if n.lead != nil {
+		n.lead.tick()
+	}
+	n.flushPolls()
+}
+
+// Ready says whether the node can take requests. An outage of the state
+// service that all nodes share makes none of them unready: they answer at
+// once that the user should come back.
+func (n *Node) Ready() bool {
+	if !n.mirror.Ready() || len(n.types) == 0 {
+		return false
+	}
+	if n.stateOK || n.now.Sub(n.stateAt) < tuning.AloneAfter {
+		return true
+	}
+	for _, p := range n.peers {
+		if p.up && p.status.StateOK {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) request(to Target, address, method, path string, body any, timeout time.Duration, done func(status int, body []byte)) {
+	n.nextID++
+	var raw []byte
+	switch b := body.(type) {
+	case nil:
+	case []byte:
+		raw = b
+	default:
+		raw = bookkeeping.Encode(b)
+	}
+	n.pending[n.nextID] = done
+	n.out = append(n.out, Request{ID: n.nextID, To: to, Address: address, Method: method, Path: path, Body: raw, Timeout: timeout})
+}
+
+// state calls the state service and keeps note of whether it serves this node.
+func (n *Node) state(method, path string, body any, done func(status int, body []byte)) {
+	n.request(ToState, "", method, path, body, tuning.StateTimeout, func(status int, body []byte) {
+		ok := status != 0 && status != 503
+		if ok || n.stateOK {
+			n.stateAt = n.now
+		}
+		n.stateOK = ok
+		done(status, body)
+	})
+}
+
+func (n *Node) reply(id uint64, status int, body any) {
+	n.out = append(n.out, Reply{ID: id, Status: status, Body: bookkeeping.Encode(body)})
+}
+
+// refuse answers at once that the request cannot be taken now.
+func (n *Node) refuse(id uint64, why string) {
+	n.out = append(n.out, Reply{ID: id, Status: 503, Body: bookkeeping.Encode(protocol.ErrorBody{Error: why}), RetryAfter: time.Second})
+}
+
+// tickMirror keeps the mirror loaded and its watch open.
+func (n *Node) tickMirror() {
+	if !n.mirror.Ready() {
+		if !n.loading && !n.now.Before(n.loadAt) {
+			n.loading = true
+			n.mirror.BeginLoad()
+			n.loadPage("")
+		}
+		return
+	}
+	if n.watching || n.now.Before(n.watchAt) {
+		return
+	}
+	n.watching = true
+	path := protocol.WatchPath(bookkeeping.LivePrefix, n.mirror.Revision, tuning.WatchBlock.Milliseconds())
+	n.request(ToState, "", "GET", path, nil, tuning.WatchBlock+tuning.WatchOverrun, n.watched)
+}
+
+func (n *Node) loadPage(after string) {
+	n.state("GET", protocol.RangePath(bookkeeping.LivePrefix, after, tuning.RangePage), nil, func(status int, body []byte) {
+		var page protocol.Entries
+		if status != 200 || json.Unmarshal(body, &page) != nil {
+			n.loading, n.loadAt = false, n.now.Add(tuning.RetryPause)
+			return
+		}
+		if next := n.mirror.LoadPage(&page); next != "" {
+			n.loadPage(next)
+			return
+		}
+		n.loading = false
+		n.log.Info("mirror loaded", "keys", n.mirror.Len(), "revision", n.mirror.Revision)
+		n.mirrorLoaded()
+	})
+}
+
+func (n *Node) watched(status int, body []byte) {
+	n.watching = false
+	var w protocol.WatchAnswer
+	switch {
+	case status == 410:
+		// Too far behind: read everything again. A leader cannot tell what it
+		// missed, so it leads no further on this mirror.
+		n.stepDown("watch too old")
+		n.mirror = bookkeeping.Mirror{}
+		return
+	case status != 200 || json.Unmarshal(body, &w) != nil:
+		n.watchAt = n.now.Add(tuning.RetryPause)
+		return
+	}
+	for i := range w.Events {
+		ev := &w.Events[i]
+		if n.mirror.Apply(ev) {
+			n.changed(ev)
+		}
+	}
+	n.mirror.Revision = max(n.mirror.Revision, w.Revision)
+	n.watchAt = n.now.Add(tuning.WatchPause)
+	n.tickMirror()
+}
+
+// mirrorLoaded looks at the claim after a full load.
+func (n *Node) mirrorLoaded() {
+	e, ok := n.mirror.Get(bookkeeping.ClaimKey)
+	if !ok {
+		n.claimGone()
+		return
+	}
+	n.claimSeen(e.Value, e.Stamp)
+}
+
+// changed passes on one change that the mirror took.
+func (n *Node) changed(ev *protocol.WatchEvent) {
+	key := ev.Set + ev.Delete
+	if key == bookkeeping.ClaimKey {
+		if ev.Set == "" {
+			n.claimGone()
+		} else {
+			n.claimSeen(ev.Value, ev.Stamp)
+		}
+		return
+	}
+	if n.lead != nil {
+		n.lead.changed(ev)
+	}
+}
+
+// tickTypes keeps the price list: every node needs the types to judge
+// submissions, the leader the prices too.
+func (n *Node) tickTypes() {
+	every := tuning.TypesEvery
+	if n.lead == nil && len(n.types) > 0 {
+		every *= 4
+	}
+	if !n.typesAt.IsZero() && n.now.Before(n.typesAt) {
+		return
+	}
+	n.typesAt = n.now.Add(tuning.CloudTimeout + time.Second)
+	n.request(ToCloud, "", "GET", protocol.PathMachineTypes, nil, tuning.CloudTimeout, func(status int, body []byte) {
+		var list protocol.MachineTypes
+		if status != 200 || json.Unmarshal(body, &list) != nil || len(list.Types) == 0 {
+			n.typesAt = n.now.Add(time.Second)
+			return
+		}
+		n.typesAt = n.now.Add(every)
+		for i := range list.Types {
+			t := &list.Types[i]
+			if old := n.types[t.Name]; old != nil {
+				*old = *t // machines point to their type
+			} else {
+				n.types[t.Name] = t
+			}
+		}
+	})
+}
+
+// timer is something to do later.
+type timer struct {
+	at time.Time
+	do func()
+}
+
+// after does something once the time has passed.
+func (n *Node) after(d time.Duration, do func()) {
+	n.timers = append(n.timers, timer{n.now.Add(d), do})
+}
+
+func (n *Node) tickTimers() {
+	due := n.timers
+	n.timers = nil
+	for _, t := range due {
+		if n.now.Before(t.at) {
+			n.timers = append(n.timers, t)
+		} else {
+			t.do()
+		}
+	}
+}
+
+// unique makes a string that no other write, rental or process uses.
+func (n *Node) unique() string {
+	n.nextID++
+	return n.boot + "-" + strconv.FormatUint(n.nextID, 36)
+}
--- /dev/null
+++ b/internal/coordination/queue.go
@@ -0,0 +1,257 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// demand is a job that waits, and for how many tasks.
+type demand struct {
+	j     *job
+	tasks int
+}
+
+// wants is how many tasks of a job wait for a place.
+func (l *leader) wants(j *job) int {
+	if j.cancelled || j.gone || j.complete() || j.stopping || l.n.now.Before(j.retryAt) {
+		return 0
+	}
+	if j.spec.Gang() {
+		if len(j.copies) > 0 {
+			return 0
+		}
+		return len(j.tasks)
+	}
+	n := 0
+	for i := range j.tasks {
+		if !j.tasks[i].done && j.tasks[i].copies == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// schedule is one pass over the queue: by priority, then in order of arrival,
+// within the teams' limits.
+func (l *leader) schedule() {
+	now := l.n.now
+	for _, m := range l.machines {
+		if m.hold != nil && (now.After(m.holdTill) || m.hold.gone || m.hold.cancelled || l.wants(m.hold) == 0) {
+			m.hold = nil
+		}
+	}
+	queue := l.ordered()
+	within := l.withinGuarantee(queue)
+	var waiting []demand
+	for _, j := range queue {
+		n := l.wants(j)
+		if n == 0 {
+			continue
+		}
+		if j.spec.Gang() {
+			if l.placeGang(j) {
+				continue
+			}
+		} else if n = l.placeArray(j); n == 0 {
+			continue
+		}
+		if n = min(n, l.teamRoom(j)); n == 0 || j.spec.Gang() && n < len(j.tasks) {
+			continue // its team's limit is in the way, not the machines
+		}
+		waiting = append(waiting, demand{j, n})
+		l.makeRoom(j, n, within[j])
+		if j.spec.Gang() && now.Sub(j.waits) > l.n.cfg.Operator.BarAfter {
+			l.bar(j)
+		}
+	}
+	l.waiting = len(waiting)
+	l.fleet.demand = waiting
+}
+
+// bar keeps the free machines of the zone where the gang lacks least from
+// jobs behind it in the queue.
+func (l *leader) bar(j *job) {
+	var best []site
+	count := 0
+	for _, zone := range l.n.cfg.Cluster.Zones {
+		list := l.sites(j, zone)
+		n := 0
+		for _, s := range list {
+			n += s.count
+		}
+		if n > count {
+			best, count = list, n
+		}
+	}
+	for _, s := range best {
+		if s.m.hold == nil {
+			s.m.hold, s.m.holdTill = j, l.n.now.Add(2*tuning.PlanIdle)
+		}
+	}
+}
+
+// withinGuarantee tells the jobs that fit into their team's guarantee together
+// with the team's earlier unfinished jobs.
+func (l *leader) withinGuarantee(queue []*job) map[*job]bool {
+	byArrival := slices.Clone(queue)
+	slices.SortFunc(byArrival, func(a, b *job) int { return cmp.Or(cmp.Compare(a.seq, b.seq), cmp.Compare(a.id, b.id)) })
+	type sum struct{ cpus, gpus float64 }
+	used := map[string]sum{}
+	within := map[*job]bool{}
+	for _, j := range byArrival {
+		t := l.teams[j.spec.Team]
+		if t == nil || j.cancelled {
+			continue
+		}
+		n := float64(len(j.tasks) - j.done)
+		u := used[j.spec.Team]
+		u.cpus += j.spec.CPUs * n
+		u.gpus += j.spec.GPUs * n
+		used[j.spec.Team] = u
+		some := t.guaranteeCPUs > 0 || t.guaranteeGPUs > 0
+		within[j] = some && (t.guaranteeCPUs == 0 || u.cpus <= t.guaranteeCPUs+amountSlack) &&
+			(t.guaranteeGPUs == 0 || u.gpus <= t.guaranteeGPUs+amountSlack)
+	}
+	return within
+}
+
+// beyond says whether a team uses more than its guarantee.
+func (t *team) beyond() bool {
+	return t.gpus > t.guaranteeGPUs+amountSlack || t.guaranteeGPUs == 0 && t.cpus > t.guaranteeCPUs+amountSlack
+}
+
+// mayStop says whether a copy may be stopped to make room for the job.
+func (l *leader) mayStop(c *taskCopy, j *job, guaranteed bool) bool {
+	if c.stop || c.j == j || c.j.gone || c.j.complete() {
+		return false
+	}
+	if c.j.rank < j.rank {
+		return true
+	}
+	t := l.teams[c.j.spec.Team]
+	return guaranteed && c.j.spec.Team != j.spec.Team && t != nil && t.beyond()
+}
+
+// eviction is what must stop on one machine so that count tasks fit.
+type eviction struct {
+	m       *machine
+	count   int
+	victims []*taskCopy
+	cost    float64
+}
+
+// makeRoom stops work that must yield to a waiting job, where that frees
+// enough room for it, and holds the room for it.
+func (l *leader) makeRoom(j *job, n int, guaranteed bool) {
+	for _, m := range l.machines {
+		if m.hold == j {
+			return // room is being made already
+		}
+	}
+	zones := l.n.cfg.Cluster.Zones
+	limit, only := l.zoneLimits(j)
+	var best []eviction
+	bestCost := 0.0
+	consider := func(list []eviction, need int) {
+		slices.SortStableFunc(list, func(a, b eviction) int {
+			return cmp.Or(cmp.Compare(a.cost/float64(a.count), b.cost/float64(b.count)), cmp.Compare(b.count, a.count))
+		})
+		var taken []eviction
+		cost := 0.0
+		per := map[string]int{}
+		for _, e := range list {
+			if need <= 0 {
+				break
+			}
+			c := min(e.count, need, limit[e.m.zone]-per[e.m.zone])
+			if c <= 0 {
+				continue
+			}
+			e = l.evict(j, e.m, c, guaranteed)
+			per[e.m.zone] += c
+			need -= e.count
+			cost += e.cost
+			taken = append(taken, e)
+		}
+		if need > 0 && j.spec.Gang() || len(taken) == 0 {
+			return
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = taken, cost
+		}
+	}
+	collect := func(zone string) (list []eviction) {
+		for _, m := range l.fleetOrder() {
+			if zone != "" && m.zone != zone || only != "" && m.zone != only || !l.usable(j, m) {
+				continue
+			}
+			if e := l.evict(j, m, n, guaranteed); e.count > 0 {
+				list = append(list, e)
+			}
+		}
+		return list
+	}
+	if j.spec.OneZone {
+		for _, z := range zones {
+			consider(collect(z), n)
+		}
+	} else {
+		consider(collect(""), n)
+	}
+	for _, e := range best {
+		e.m.hold, e.m.holdTill = j, l.n.now.Add(tuning.HoldFor)
+		for _, c := range e.victims {
+			l.n.metrics.Preemptions++
+			l.preempt(c)
+		}
+	}
+}
+
+// evict works out what to stop on a machine so that up to count tasks fit:
+// the lowest priority first, then what loses least.
+func (l *leader) evict(j *job, m *machine, count int, guaranteed bool) eviction {
+	left := l.left(m)
+	var can []*taskCopy
+	for _, c := range sortedCopies(m) {
+		if c.stop {
+			left.add(c.j.spec, 1) // on its way out already
+		} else if l.mayStop(c, j, guaranteed) {
+			can = append(can, c)
+		}
+	}
+	slices.SortStableFunc(can, func(a, b *taskCopy) int {
+		return cmp.Or(cmp.Compare(a.j.rank, b.j.rank), cmp.Compare(l.loss(a), l.loss(b)))
+	})
+	e := eviction{m: m, count: left.holds(j.spec, count)}
+	for _, c := range can {
+		if e.count >= count {
+			break
+		}
+		left.add(c.j.spec, 1)
+		e.victims = append(e.victims, c)
+		e.count = left.holds(j.spec, count)
+	}
+	// A victim that is not needed after all stays.
+	for i := len(e.victims) - 1; i >= 0; i-- {
+		left.add(e.victims[i].j.spec, -1)
+		if left.holds(j.spec, count) < e.count {
+			left.add(e.victims[i].j.spec, 1)
+			continue
+		}
+		e.victims = slices.Delete(e.victims, i, i+1)
+	}
+	for _, c := range e.victims {
+		e.cost += 1 + l.loss(c)
+	}
+	return e
+}
+
+// loss is about how much work is lost when a copy is stopped, in GPU seconds.
+func (l *leader) loss(c *taskCopy) float64 {
+	if c.running.IsZero() || c.j.spec.CheckpointS > 0 {
+		return 0
+	}
+	return l.n.now.Sub(c.running).Seconds() * max(1, c.j.spec.GPUs)
+}
--- /dev/null
+++ b/internal/coordination/relay.go
@@ -0,0 +1,185 @@
+package coordination
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// peer is a sibling as this node sees it.
+type peer struct {
+	up     bool
+	heard  time.Time
+	status protocol.PeerStatus
+}
+
+// carried is a worker's report that was sent on to the leader.
+type carried struct {
+	reply  uint64
+	expire time.Time
+}
+
+func (n *Node) peerUp(name string) {
+	if p := n.peers[name]; p != nil {
+		p.up, p.heard = true, n.now
+		n.beatAt = time.Time{}
+	}
+}
+
+func (n *Node) peerDown(name string) {
+	if p := n.peers[name]; p != nil {
+		p.up = false
+	}
+}
+
+// reach says whether the link to a sibling is there and alive.
+func (n *Node) reach(name string) bool {
+	p := n.peers[name]
+	return p != nil && p.up && n.now.Sub(p.heard) < tuning.PeerSilent
+}
+
+// links lists the siblings within reach, in order of their names.
+func (n *Node) links() []string {
+	var l []string
+	for _, s := range n.cfg.Siblings {
+		if n.reach(s.Name) {
+			l = append(l, s.Name)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+// route finds the sibling to hand a message for target to: the target itself,
+// or a third controller that reaches it. "" if there is none.
+func (n *Node) route(target string) string {
+	if n.reach(target) {
+		return target
+	}
+	for _, name := range n.links() {
+		if slices.Contains(n.peers[name].status.Links, target) {
+			return name
+		}
+	}
+	return ""
+}
+
+func (n *Node) sendTo(target string, m protocol.PeerMessage) bool {
+	via := n.route(target)
+	if via == "" {
+		return false
+	}
+	n.out = append(n.out, PeerSend{Peer: via, Message: m})
+	return true
+}
+
+func (n *Node) tickPeers() {
+	for id, c := range n.carried {
+		if n.now.After(c.expire) {
+			delete(n.carried, id)
+			n.refuse(c.reply, "leader does not answer")
+		}
+	}
+	if n.now.Before(n.beatAt) {
+		return
+	}
+	n.beatAt = n.now.Add(tuning.PeerBeat)
+	for name, at := range n.redirected {
+		if n.now.Sub(at) > tuning.RelayMemory {
+			delete(n.redirected, name)
+		}
+	}
+	status := protocol.PeerStatus{Term: n.claim.stamp, Leader: n.claim.holder, StateOK: n.stateOK, Links: n.links()}
+	for _, s := range n.cfg.Siblings {
+		p := n.peers[s.Name]
+		if p.up && n.now.Sub(p.heard) > 2*tuning.PeerSilent {
+			p.heard = n.now // one reset at a time
+			n.out = append(n.out, PeerReset{Peer: s.Name})
+		} else if p.up {
+			n.out = append(n.out, PeerSend{Peer: s.Name, Message: status})
+		}
+	}
+}
+
+func (n *Node) peerReceive(from string, m protocol.PeerMessage) {
+	p := n.peers[from]
+	if p == nil {
+		return
+	}
+	p.heard = n.now
+	switch m := m.(type) {
+	case protocol.PeerStatus:
+		p.status = m
+	case protocol.PeerReport:
+		if m.Target != n.cfg.Name {
+			if m.Hops < tuning.PeerHops {
+				m.Hops++
+				n.sendTo(m.Target, m)
+			}
+			return
+		}
+		status, body := n.takeReport(m.Report)
+		n.sendTo(m.Origin, protocol.PeerAnswer{ID: m.ID, Target: m.Origin, Status: uint64(status), Body: bookkeeping.Encode(body)})
+	case protocol.PeerAnswer:
+		if m.Target != n.cfg.Name {
+			if m.Hops < tuning.PeerHops {
+				m.Hops++
+				n.sendTo(m.Target, m)
+			}
+			return
+		}
+		if c, ok := n.carried[m.ID]; ok {
+			delete(n.carried, m.ID)
+			n.out = append(n.out, Reply{ID: c.reply, Status: int(m.Status), Body: m.Body})
+		}
+	}
+}
+
+// routeReport answers a worker's report if this node leads. Otherwise it sends
+// the worker to the leader; one that was sent and came back cannot reach the
+// leader, and its reports are carried.
+func (n *Node) routeReport(id uint64, r *protocol.Report) {
+	if n.claim.term != 0 && n.lead != nil {
+		status, body := n.takeReport(r)
+		n.reply(id, status, body)
+		return
+	}
+	leader := n.claim.holder
+	if leader == "" || leader == n.cfg.Name {
+		n.reply(id, 503, protocol.ErrorBody{Error: "no leader known"})
+		return
+	}
+	direct := n.reach(leader)
+	if _, again := n.redirected[r.Machine]; direct && !again {
+		n.redirected[r.Machine] = n.now
+		n.reply(id, 421, protocol.Redirect{ReportTo: leader})
+		return
+	}
+	n.nextID++
+	if !n.sendTo(leader, protocol.PeerReport{ID: n.nextID, Origin: n.cfg.Name, Target: leader, Report: r}) {
+		n.reply(id, 421, protocol.Redirect{})
+		return
+	}
+	n.redirected[r.Machine] = n.now
+	n.carried[n.nextID] = carried{reply: id, expire: n.now.Add(tuning.RelayTimeout)}
+}
+
+// takeReport is the leader's answer to a report, carried or not.
+func (n *Node) takeReport(r *protocol.Report) (status int, body any) {
+	if n.lead == nil || !n.entitled() {
+		return 421, protocol.Redirect{}
+	}
+	if r.Token > n.claim.term {
+		// Somebody else has the right to command by now.
+		n.stepDown("a worker has seen a higher token")
+		return 421, protocol.Redirect{}
+	}
+	commands, ok := n.lead.report(r, true)
+	if !ok {
+		return 503, protocol.ErrorBody{Error: "an older report"}
+	}
+	return 200, protocol.ReportAnswer{Token: n.claim.term, Commands: commands}
+}
--- /dev/null
+++ b/internal/coordination/workers.go
@@ -0,0 +1,564 @@
+package coordination
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+type taskKey struct {
+	job     string
+	index   int
+	attempt uint64
+}
+
+// machine is a rented machine and its worker.
+type machine struct {
+	id, address, typeName, zone string
+	spot                        bool
+	slots                       buddy
+	sized                       bool    // the slots follow from the type
+	cpus, gpus, memory          float64 // in use
+
+	stamp   uint64 // revision of the room record, 0 while there is none
+	closed  bool   // takes no further tasks, says the room record
+	writing bool   // the room record is in the transaction under way
+	queued  bool   // the room record is to be written
+
+	reported   bool      // to this leader
+	fresh      bool      // the worker has shown this leader's token
+	session    uint64    // newest known
+	seq        uint64    // newest known within the session
+	lastReport time.Time // newest message of any kind
+	answered   time.Time // the last answered report: the lease counts from here at most
+	lapsed     bool      // the lease has surely run out since
+
+	copies    map[taskKey]*taskCopy
+	exited    []protocol.TaskReport // as last reported
+	pins      map[taskKey]bool      // attempts that must not be reaped
+	strays    []taskKey             // tasks of jobs that nobody knows
+	idleSince time.Time
+
+	noticed  bool // the cloud takes the machine away soon
+	noticeAt time.Time
+
+	urgent   bool // has orders that should not wait for a report
+	busy     bool // a direct order is under way
+	directAt time.Time
+	probing  bool
+	probes   int
+	probeAt  time.Time
+
+	deleting bool
+	deleteAt time.Time
+	why      string
+
+	born     time.Time
+	listed   time.Time
+	phase    string
+	failed   map[string]bool // jobs that failed here, none succeeding between
+	distrust bool
+	images   []image
+	hold     *job // room freed by preemption is kept for it
+	holdTill time.Time
+}
+
+type image struct {
+	name string
+	gb   float64
+}
+
+// machine finds a machine or enters a new one.
+func (l *leader) machine(id, address, typeName, zone string, spot bool) *machine {
+	m := l.machines[id]
+	if m == nil {
+		m = &machine{id: id, copies: map[taskKey]*taskCopy{}, pins: map[taskKey]bool{}, failed: map[string]bool{},
+			idleSince: l.n.now, born: l.n.now, slots: newBuddy(0)}
+		l.machines[id] = m
+	}
+	if typeName != "" {
+		m.address, m.typeName, m.zone, m.spot = cmp.Or(address, m.address), typeName, zone, spot
+	}
+	return m
+}
+
+// kind is the machine's type, nil while it is unknown.
+func (l *leader) kind(m *machine) *protocol.MachineType {
+	t := l.n.types[m.typeName]
+	if t != nil && !m.sized {
+		m.sized = true
+		m.slots = newBuddy(machineSlots(t))
+		for _, c := range sortedCopies(m) {
+			c.slots = m.slots.carve(taskSlots(c.j.spec))
+		}
+	}
+	return t
+}
+
+func sortedCopies(m *machine) []*taskCopy {
+	list := make([]*taskCopy, 0, len(m.copies))
+	for _, c := range m.copies {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b *taskCopy) int {
+		return cmp.Or(cmp.Compare(a.j.seq, b.j.seq), cmp.Compare(a.j.id, b.j.id), cmp.Compare(a.key.index, b.key.index), cmp.Compare(a.key.attempt, b.key.attempt))
+	})
+	return list
+}
+
+// take accounts for a job's tasks on the machine; n is negative to give back.
+func (m *machine) take(s *protocol.Job, n int) {
+	m.cpus += s.CPUs * float64(n)
+	m.gpus += s.GPUs * float64(n)
+	m.memory += s.MemoryGB * float64(n)
+	if len(m.copies) == 0 {
+		m.cpus, m.gpus, m.memory = 0, 0, 0 // no rounding is left behind
+	}
+}
+
+// report takes a worker's newest message. answered: it came as a report and
+// will be answered with 200, which renews the worker's lease. ok is false if
+// the message is older than what is known.
+func (l *leader) report(r *protocol.Report, answered bool) (commands []protocol.Command, ok bool) {
+	if _, gone := l.fleet.deleted[r.Machine]; gone {
+		return nil, false // what is deleted can only have sent this before
+	}
+	m := l.machine(r.Machine, r.Address, r.Type, r.Zone, r.Spot)
+	if !r.Newer(m.session, m.seq) {
+		return nil, false
+	}
+	now := l.n.now
+	if r.Session > m.session {
+		m.pins = map[taskKey]bool{}
+	}
+	m.session, m.seq = r.Session, r.Seq
+	for _, c := range sortedCopies(m) {
+		if c.session < r.Session {
+			l.drop(c) // a newer session has forgotten it
+		}
+	}
+	if !m.reported || m.lapsed {
+		m.reported, m.lapsed = true, false
+		m.idleSince = now
+		l.plan = true
+	}
+	m.fresh = r.Token == l.n.claim.term
+	m.lastReport, m.probes = now, 0
+	if answered {
+		m.answered = now
+	}
+	if m.stamp == 0 {
+		l.writeRoom(m)
+	}
+	if r.NoticeS != nil && !m.noticed {
+		m.noticed, m.noticeAt = true, now
+		l.plan = true
+		l.drain(m)
+	}
+	seen := make(map[taskKey]bool, len(r.Tasks))
+	m.exited = m.exited[:0]
+	for _, t := range r.Tasks {
+		id, index, valid := protocol.SplitTask(t.Task)
+		if !valid {
+			continue
+		}
+		key := taskKey{id, index, t.Attempt}
+		seen[key] = true
+		l.reportedTask(m, key, t)
+	}
+	if m.fresh {
+		for _, c := range sortedCopies(m) {
+			switch {
+			case seen[taskKey{c.j.id, c.key.index, c.key.attempt}] || !c.sent || c.direct > 0 || c.pinned:
+			case c.inReply && !answered:
+				// The start may be in an answer that the worker has yet to read.
+			case c.state != "" || c.stop:
+				l.drop(c)
+			}
+		}
+	}
+	if answered {
+		for _, c := range m.copies {
+			c.inReply = false
+		}
+		commands = l.orders(m, true)
+	}
+	return commands, true
+}
+
+// reportedTask takes one task of a report.
+func (l *leader) reportedTask(m *machine, key taskKey, t protocol.TaskReport) {
+	c := m.copies[key]
+	j := l.jobs[key.job]
+	if t.State != protocol.TaskExited {
+		if c == nil {
+			if j == nil || key.index >= len(j.tasks) {
+				m.strays = append(m.strays, key)
+				return
+			}
+			// No record asks for this copy, yet it takes room: it must go
+			// before its task starts anywhere else.
+			c = l.addCopy(j, key.index, key.attempt, m, m.session)
+			c.committed, c.sent, c.stray = true, true, true
+			l.stop(c, 0)
+		}
+		c.state = t.State
+		c.sent = true
+		if t.State == protocol.TaskRunning && c.running.IsZero() {
+			c.running = l.n.now
+			c.j.started = true
+		}
+		return
+	}
+	m.exited = append(m.exited, t)
+	if t.Cause == protocol.CauseDone && j != nil && key.index < len(j.tasks) {
+		l.setDone(j, key.index)
+		clear(m.failed)
+	}
+	if c == nil || !m.fresh && t.Cause != protocol.CauseDone {
+		return
+	}
+	if c.pinned || c.direct > 0 {
+		m.pins[key] = true
+	}
+	if c.state != protocol.TaskExited {
+		c.state = protocol.TaskExited
+		l.exited(m, c, t)
+	}
+	l.drop(c)
+}
+
+// exited judges a copy's end.
+func (l *leader) exited(m *machine, c *taskCopy, t protocol.TaskReport) {
+	j := c.j
+	switch t.Cause {
+	case protocol.CauseDone, protocol.CauseStopped, protocol.CausePeers, protocol.CauseAlone:
+	case protocol.CauseError:
+		j.failures[m.id] = true
+		j.avoid[m.id] = l.n.now.Add(time.Hour)
+		if len(j.failures) >= tuning.JobErrors {
+			// It fails everywhere: the job is to blame, not the machines.
+			j.retryAt = l.n.now.Add(tuning.ErrorPause)
+			for _, other := range l.machines {
+				delete(other.failed, j.id)
+			}
+			clear(j.avoid)
+			return
+		}
+		m.failed[j.id] = true
+		if len(m.failed) >= tuning.MachineErrors && !m.distrust {
+			m.distrust = true
+			l.n.log.Info("machine distrusted", "machine", m.id)
+			l.drain(m)
+		}
+	case protocol.CauseNoRoom, protocol.CauseBusy:
+		j.avoid[m.id] = l.n.now.Add(tuning.AvoidFor)
+	default:
+		// no_such, or a cause of a later version: try again, but not at once.
+		j.retryAt = l.n.now.Add(tuning.RetryPause * 8)
+	}
+}
+
+// drain empties a machine that is to go: everything that can save its work
+// stops now, what cannot may finish if it can.
+func (l *leader) drain(m *machine) {
+	l.plan = true
+	for _, c := range sortedCopies(m) {
+		if c.stop || c.j.spec.CheckpointS == 0 && !m.distrust {
+			continue
+		}
+		l.preempt(c)
+	}
+}
+
+// preempt stops a copy in good order; a gang stops as a whole.
+func (l *leader) preempt(c *taskCopy) {
+	grace := c.j.spec.SaveS + tuning.StopGrace
+	if c.j.spec.Gang() {
+		if !c.j.stopping {
+			l.endGang(c.j, grace)
+		}
+		return
+	}
+	l.stop(c, grace)
+}
+
+// orders lists what a worker should do: forget first, for a task may come back
+// to a machine that still holds its old attempt, then stop, then start.
+func (l *leader) orders(m *machine, inReply bool) []protocol.Command {
+	var cmds []protocol.Command
+	if m.fresh {
+		for _, t := range m.exited {
+			if l.reapable(m, t) {
+				cmds = append(cmds, protocol.Command{Op: protocol.OpForget, Task: t.Task, Attempt: t.Attempt})
+			}
+		}
+	}
+	for _, k := range m.strays {
+		cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: protocol.TaskName(k.job, k.index), Attempt: k.attempt})
+	}
+	m.strays = m.strays[:0]
+	list := sortedCopies(m)
+	for _, c := range list {
+		if !c.stop || !c.sent {
+			continue
+		}
+		if c.state == "" && (c.pinned || c.direct > 0) {
+			// The lost start may yet arrive. Once the worker holds the attempt,
+			// a late copy of it does nothing: so start it and end it at once.
+			cmds = append(cmds, l.startOrder(c, inReply))
+		}
+		if inReply || l.n.now.Sub(c.stopSent) > tuning.StopResend {
+			c.stopSent = l.n.now
+			cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: protocol.TaskName(c.j.id, c.key.index), Attempt: c.key.attempt, GraceS: c.grace})
+		}
+	}
+	for _, c := range list {
+		if c.stop || !c.committed || c.state != "" {
+			continue
+		}
+		if c.j.spec.Gang() && (len(c.j.dirty) > 0 || c.j.writing) {
+			continue // not every task's place is written yet
+		}
+		if !inReply && (c.direct > 0 || c.inReply || !l.n.cfg.Operator.DirectStarts) {
+			continue
+		}
+		if m.closed || m.deleting {
+			l.stop(c, 0)
+			continue
+		}
+		cmds = append(cmds, l.startOrder(c, inReply))
+	}
+	if len(cmds) > tuning.OrdersAtOnce {
+		cmds = cmds[:tuning.OrdersAtOnce]
+	}
+	return cmds
+}
+
+func (l *leader) startOrder(c *taskCopy, inReply bool) protocol.Command {
+	if !c.sent {
+		l.n.metrics.Starts++
+		l.n.metrics.WaitSeconds = append(l.n.metrics.WaitSeconds, l.n.now.Sub(c.j.at).Seconds())
+	}
+	c.sent = true
+	if inReply {
+		c.inReply = true
+	}
+	c.m.useImage(c.j.spec, l.kind(c.m))
+	return protocol.Command{Op: protocol.OpStart, Task: protocol.TaskName(c.j.id, c.key.index), Attempt: c.key.attempt}
+}
+
+// reapable says whether an exited attempt may be forgotten: what it achieved
+// is stored, and no late start of it can arrive.
+func (l *leader) reapable(m *machine, t protocol.TaskReport) bool {
+	id, index, _ := protocol.SplitTask(t.Task)
+	key := taskKey{id, index, t.Attempt}
+	if m.pins[key] || m.copies[key] != nil {
+		return false
+	}
+	j := l.jobs[id]
+	if j == nil || index >= len(j.tasks) {
+		return true
+	}
+	return t.Cause != protocol.CauseDone || !j.writing && !j.dirty[index/j.chunk]
+}
+
+// useImage notes that the machine has an image; it keeps those last used.
+func (m *machine) useImage(s *protocol.Job, t *protocol.MachineType) {
+	m.images = slices.DeleteFunc(m.images, func(i image) bool { return i.name == s.Image })
+	m.images = append(m.images, image{s.Image, s.ImageGB})
+	if t == nil {
+		return
+	}
+	total := 0.0
+	for i := len(m.images) - 1; i >= 0; i-- {
+		total += m.images[i].gb
+		if total > t.CacheGB && i < len(m.images)-1 {
+			m.images = slices.Delete(m.images, 0, i+1)
+			return
+		}
+	}
+}
+
+func (m *machine) hasImage(name string) bool {
+	return slices.ContainsFunc(m.images, func(i image) bool { return i.name == name })
+}
+
+// sendDirect sends orders that should not wait for the next report, and shows
+// the token to workers that this leader has not heard of.
+func (l *leader) sendDirect() {
+	now := l.n.now
+	for _, m := range l.fleetOrder() {
+		if m.busy || m.address == "" || m.deleting || now.Before(m.directAt) {
+			continue
+		}
+		poke := !m.reported && m.session > 0
+		if !m.urgent && !poke {
+			continue
+		}
+		if m.reported && !l.alive(m) {
+			continue
+		}
+		m.urgent = false
+		var cmds []protocol.Command
+		if m.reported {
+			cmds = l.orders(m, false)
+			if len(cmds) == 0 {
+				continue
+			}
+		}
+		l.direct(m, cmds)
+	}
+}
+
+func (l *leader) direct(m *machine, cmds []protocol.Command) {
+	var starts []*taskCopy
+	for _, cmd := range cmds {
+		if cmd.Op != protocol.OpStart {
+			continue
+		}
+		id, index, _ := protocol.SplitTask(cmd.Task)
+		if c := m.copies[taskKey{id, index, cmd.Attempt}]; c != nil {
+			c.direct++
+			starts = append(starts, c)
+		}
+	}
+	m.busy = true
+	body := protocol.Orders{Token: l.n.claim.term, Session: m.session, Commands: cmds}
+	l.n.request(ToWorker, m.address, "POST", protocol.PathOrders, body, tuning.ProbeTimeout, func(status int, body []byte) {
+		if l.n.lead != l {
+			return
+		}
+		m.busy = false
+		for _, c := range starts {
+			c.direct--
+			if status != 200 && status != 409 {
+				// It may arrive at any later time while session and token match.
+				c.pinned = true
+				m.pins[taskKey{c.j.id, c.key.index, c.key.attempt}] = true
+			}
+		}
+		if status != 200 && status != 409 {
+			m.directAt = l.n.now.Add(tuning.StopResend)
+			m.urgent = len(m.copies) > 0
+			return
+		}
+		l.heard(m, body)
+		if m.urgent = status == 409; m.urgent {
+			m.directAt = l.n.now.Add(tuning.StopResend)
+		}
+	})
+}
+
+// heard takes the report that a worker gave as an answer.
+func (l *leader) heard(m *machine, body []byte) {
+	r, err := protocol.ParseReport(body)
+	if err != nil || r.Machine != m.id {
+		l.n.log.Error("a worker's answer is no report of its own", "machine", m.id, "error", err)
+		return
+	}
+	if r.Token > l.n.claim.term {
+		l.n.stepDown("a worker has seen a higher token")
+		return
+	}
+	l.report(r, false)
+}
+
+// alive says whether the worker was heard of lately.
+func (l *leader) alive(m *machine) bool {
+	return m.reported && !m.lapsed && l.n.now.Sub(m.lastReport) < l.silence()
+}
+
+// silence is how long a worker may be silent before it is probed.
+func (l *leader) silence() time.Duration {
+	return seconds(l.n.cfg.Cluster.Workers.ReportS * tuning.SilentReports)
+}
+
+// lapseAt is when a worker's lease has surely run out. One that this leader
+// never answered may have been answered by its predecessor for the whole of
+// the predecessor's grace.
+func (l *leader) lapseAt(m *machine) time.Time {
+	from := l.since.Add(l.n.grace())
+	if m.answered.After(from) {
+		from = m.answered
+	}
+	return from.Add(withDrift(seconds(l.n.cfg.Cluster.Workers.LeaseS)) + withDrift(l.n.grace()) - l.n.grace() + tuning.LapseMargin)
+}
+
+// tickMachines looks for workers that are silent, lapsed or dead.
+func (l *leader) tickMachines() {
+	now := l.n.now
+	silent, total := 0, 0
+	for _, m := range l.machines {
+		if m.reported || m.session > 0 {
+			total++
+			if !l.alive(m) && now.Sub(m.lastReport) > l.silence() && now.Sub(l.since) > l.silence() {
+				silent++
+			}
+		}
+	}
+	network := silent > 2 && float64(silent) > tuning.SilentShare*float64(total)
+	for _, m := range l.fleetOrder() {
+		if l.n.lead != l {
+			return
+		}
+		if !m.reported && m.session == 0 || l.alive(m) || now.Sub(l.since) < l.silence() {
+			continue
+		}
+		if !m.lapsed && now.After(l.lapseAt(m)) {
+			m.lapsed = true
+			l.n.log.Info("lease lapsed", "machine", m.id)
+			for _, c := range sortedCopies(m) {
+				l.drop(c)
+			}
+		}
+		if !m.probing && !now.Before(m.probeAt) && m.address != "" && !m.deleting {
+			l.probe(m)
+		}
+		if m.lapsed && m.address == "" && !m.deleting {
+			l.delete(m, "lapsed and of no known address")
+		}
+		if m.probes >= tuning.ProbesToDelete && (!network || m.lapsed) && !m.deleting {
+			l.delete(m, "silent")
+		}
+	}
+}
+
+// probe asks a silent worker for its report.
+func (l *leader) probe(m *machine) {
+	m.probing = true
+	l.n.request(ToWorker, m.address, "GET", protocol.PathInspect, nil, tuning.ProbeTimeout, func(status int, body []byte) {
+		if l.n.lead != l {
+			return
+		}
+		m.probing, m.probeAt = false, l.n.now.Add(tuning.ProbeTimeout)
+		if status != 200 {
+			m.probes++
+			return
+		}
+		l.heard(m, body)
+	})
+}
+
+// writeRoom queues the machine's room record.
+func (l *leader) writeRoom(m *machine) {
+	if !m.queued {
+		m.queued = true
+		l.rooms = append(l.rooms, m)
+	}
+}
+
+func (m *machine) room(writer string) bookkeeping.Room {
+	return bookkeeping.Room{Writer: writer, Address: m.address, Type: m.typeName, Zone: m.zone, Spot: m.spot, Closed: m.closed}
+}
+
+// parse reads a JSON answer.
+func parse[T any](body []byte) (T, bool) {
+	var v T
+	return v, json.Unmarshal(body, &v) == nil
+}
--- /dev/null
+++ b/internal/protocol/paths.go
@@ -0,0 +1,64 @@
+package protocol
+
+import (
+	"net/url"
+	"strconv"
+)
+
+// Paths of the service itself.
+const (
+	PathJobs   = "/v2/runs"
+	PathReady  = "/ready"
+	PathReport = "/checkin"
+	// PathMetrics serves the operators' metrics.
+	PathMetrics = "/metrics"
+	// CancelAction follows a job's path to cancel it.
+	CancelAction = "withdraw"
+)
+
+// Paths of a worker.
+const (
+	PathOrders  = "/orders"
+	PathInspect = "/inspect"
+)
+
+// Paths of the cloud.
+const (
+	PathMachineTypes   = "/machine_types"
+	PathMachines       = "/hosts"
+	PathDeleteMachines = "/hosts/delete"
+)
+
+// Paths of the state service.
+const (
+	PathTxn    = "/txn"
+	PathLeases = "/grants"
+)
+
+// MachinesPath asks for a page of the machine list.
+func MachinesPath(after string, limit int) string {
+	return PathMachines + "?after=" + url.QueryEscape(after) + "&page=" + strconv.Itoa(limit)
+}
+
+// KeyPath reads one key.
+func KeyPath(key string) string { return "/kv/" + key }
+
+// RangePath reads keys by prefix.
+func RangePath(prefix, after string, limit int) string {
+	p := "/kv?starts=" + url.QueryEscape(prefix)
+	if after != "" {
+		p += "&after=" + url.QueryEscape(after)
+	}
+	return p + "&page=" + strconv.Itoa(limit)
+}
+
+// WatchPath waits for changes below a prefix.
+func WatchPath(prefix string, after uint64, waitMs int64) string {
+	return "/watch?starts=" + url.QueryEscape(prefix) + "&after=" + strconv.FormatUint(after, 10) +
+		"&block_ms=" + strconv.FormatInt(waitMs, 10)
+}
+
+// RenewPath renews a lease.
+func RenewPath(lease uint64) string {
+	return PathLeases + "/" + strconv.FormatUint(lease, 10) + "/renew"
+}
--- /dev/null
+++ b/internal/protocol/peer.go
@@ -0,0 +1,263 @@
+package protocol
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+)
+
+// The controllers speak a binary format of their own. A frame is
+//
+//	'G' 'P'  version  kind  length (4 bytes, big endian)  payload
+//
+// Numbers in a payload are unsigned varints, strings are a length and bytes.
+const (
+	peerVersion   = 1
+	peerHeader    = 8
+	maxPeerFrame  = 256 << 10
+	maxPeerString = MaxBody
+)
+
+// ErrFrame is wrapped by every error about a wrong frame.
+var ErrFrame = errors.New("bad peer frame")
+
+// PeerMessage is one message between controllers.
+type PeerMessage interface{ kind() byte }
+
+// PeerHello opens a link.
+type PeerHello struct{ Node string }
+
+// PeerStatus is what a node says of itself at every beat.
+type PeerStatus struct {
+	Term    uint64
+	Leader  string
+	StateOK bool
+	Links   []string // peers that this node has a link to
+}
+
+// PeerReport carries a worker's report to the leader.
+type PeerReport struct {
+	ID     uint64
+	Origin string
+	Target string
+	Hops   uint64
+	Report *Report
+}
+
+// PeerAnswer carries the answer back.
+type PeerAnswer struct {
+	ID     uint64
+	Target string // the node that carried the request first
+	Hops   uint64
+	Status uint64
+	Body   []byte
+}
+
+// PeerRequest carries a user's request to a node that reaches the state service.
+type PeerRequest struct {
+	ID     uint64
+	Origin string
+	Target string
+	Hops   uint64
+	Verb   string // submit, query or cancel
+	Job    string
+	Body   []byte
+}
+
+func (PeerHello) kind() byte   { return 1 }
+func (PeerStatus) kind() byte  { return 2 }
+func (PeerReport) kind() byte  { return 3 }
+func (PeerAnswer) kind() byte  { return 4 }
+func (PeerRequest) kind() byte { return 5 }
+
+type encoder struct{ b []byte }
+
+func (e *encoder) num(v uint64) { e.b = binary.AppendUvarint(e.b, v) }
+func (e *encoder) flag(v bool) {
+	if v {
+		e.num(1)
+	} else {
+		e.num(0)
+	}
+}
+func (e *encoder) str(s string) {
+	e.num(uint64(len(s)))
+	e.b = append(e.b, s...)
+}
+
+type decoder struct {
+	b   []byte
+	err error
+}
+
+func (d *decoder) num() uint64 {
+	v, n := binary.Uvarint(d.b)
+	if n <= 0 {
+		d.fail()
+		return 0
+	}
+	d.b = d.b[n:]
+	return v
+}
+func (d *decoder) fail() {
+	d.err = ErrFrame
+	d.b = nil
+}
+func (d *decoder) flag() bool {
+	v := d.num()
+	if v > 1 {
+		d.fail()
+	}
+	return v == 1
+}
+func (d *decoder) str() string {
+	n := d.num()
+	if n > uint64(len(d.b)) || n > maxPeerString {
+		d.fail()
+		return ""
+	}
+	s := string(d.b[:n])
+	d.b = d.b[n:]
+	return s
+}
+
+// count reads the length of a list whose items take at least size bytes each.
+func (d *decoder) count(size int) int {
+	n := d.num()
+	if n > uint64(len(d.b)/size) {
+		d.fail()
+		return 0
+	}
+	return int(n)
+}
+
+// AppendPeer appends the message's frame to b.
+func AppendPeer(b []byte, m PeerMessage) []byte {
+	start := len(b)
+	e := &encoder{append(b, 'G', 'P', peerVersion, m.kind(), 0, 0, 0, 0)}
+	switch m := m.(type) {
+	case PeerHello:
+		e.str(m.Node)
+	case PeerStatus:
+		e.num(m.Term)
+		e.str(m.Leader)
+		e.flag(m.StateOK)
+		e.num(uint64(len(m.Links)))
+		for _, l := range m.Links {
+			e.str(l)
+		}
+	case PeerReport:
+		e.num(m.ID)
+		e.str(m.Origin)
+		e.str(m.Target)
+		e.num(m.Hops)
+		e.report(m.Report)
+	case PeerAnswer:
+		e.num(m.ID)
+		e.str(m.Target)
+		e.num(m.Hops)
+		e.num(m.Status)
+		e.str(string(m.Body))
+	case PeerRequest:
+		e.num(m.ID)
+		e.str(m.Origin)
+		e.str(m.Target)
+		e.num(m.Hops)
+		e.str(m.Verb)
+		e.str(m.Job)
+		e.str(string(m.Body))
+	}
+	binary.BigEndian.PutUint32(e.b[start+4:], uint32(len(e.b)-start-peerHeader))
+	return e.b
+}
+
+func (e *encoder) report(r *Report) {
+	e.str(r.Machine)
+	e.str(r.Address)
+	e.str(r.Type)
+	e.str(r.Zone)
+	e.flag(r.Spot)
+	e.num(r.Session)
+	e.num(r.Seq)
+	e.num(r.Token)
+	e.flag(r.NoticeS != nil)
+	if r.NoticeS != nil {
+		e.num(math.Float64bits(*r.NoticeS))
+	}
+	e.num(uint64(len(r.Tasks)))
+	for _, t := range r.Tasks {
+		e.str(t.Task)
+		e.num(t.Attempt)
+		e.str(t.State)
+		e.str(t.Cause)
+		e.flag(t.Saved)
+	}
+}
+
+func (d *decoder) report() *Report {
+	r := &Report{Machine: d.str(), Address: d.str(), Type: d.str(), Zone: d.str(), Spot: d.flag(),
+		Session: d.num(), Seq: d.num(), Token: d.num()}
+	if d.flag() {
+		v := math.Float64frombits(d.num())
+		r.NoticeS = &v
+	}
+	n := d.count(5)
+	for i := 0; i < n && d.err == nil; i++ {
+		r.Tasks = append(r.Tasks, TaskReport{Task: d.str(), Attempt: d.num(), State: d.str(), Cause: d.str(), Saved: d.flag()})
+	}
+	return r
+}
+
+// ReadPeer reads one frame. A frame that is wrong, too large or of another
+// version is an error that wraps ErrFrame; the link must then be closed.
+func ReadPeer(r io.Reader) (PeerMessage, error) {
+	var h [peerHeader]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return nil, err
+	}
+	if h[0] != 'G' || h[1] != 'P' {
+		return nil, fmt.Errorf("%w: no frame mark", ErrFrame)
+	}
+	if h[2] != peerVersion {
+		return nil, fmt.Errorf("%w: version %d, want %d", ErrFrame, h[2], peerVersion)
+	}
+	n := binary.BigEndian.Uint32(h[4:])
+	if n > maxPeerFrame {
+		return nil, fmt.Errorf("%w: %d bytes", ErrFrame, n)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, err
+	}
+	return decodePeer(h[3], b)
+}
+
+func decodePeer(kind byte, b []byte) (PeerMessage, error) {
+	d := &decoder{b: b}
+	var m PeerMessage
+	switch kind {
+	case PeerHello{}.kind():
+		m = PeerHello{Node: d.str()}
+	case PeerStatus{}.kind():
+		s := PeerStatus{Term: d.num(), Leader: d.str(), StateOK: d.flag()}
+		n := d.count(1)
+		for i := 0; i < n && d.err == nil; i++ {
+			s.Links = append(s.Links, d.str())
+		}
+		m = s
+	case PeerReport{}.kind():
+		m = PeerReport{ID: d.num(), Origin: d.str(), Target: d.str(), Hops: d.num(), Report: d.report()}
+	case PeerAnswer{}.kind():
+		m = PeerAnswer{ID: d.num(), Target: d.str(), Hops: d.num(), Status: d.num(), Body: []byte(d.str())}
+	case PeerRequest{}.kind():
+		m = PeerRequest{ID: d.num(), Origin: d.str(), Target: d.str(), Hops: d.num(), Verb: d.str(), Job: d.str(), Body: []byte(d.str())}
+	default:
+		return nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
+	}
+	if d.err != nil || len(d.b) != 0 {
+		return nil, fmt.Errorf("%w: kind %d does not parse", ErrFrame, kind)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/transport/clients.go
@@ -0,0 +1,88 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/coordination"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// clients carries out the node's requests to outside systems. Every request
+// ends in exactly one Response on the owner's queue.
+type clients struct {
+	state, cloud string
+	outside      *http.Client // state service and cloud
+	workers      *http.Client
+	answers      chan<- coordination.Event
+}
+
+func newClients(cfg *config.Config, answers chan<- coordination.Event) *clients {
+	client := func(idle int, perHost int) *http.Client {
+		return &http.Client{
+			Transport: &http.Transport{
+				DialContext:         (&net.Dialer{Timeout: tuning.DialTimeout}).DialContext,
+				MaxIdleConns:        idle,
+				MaxIdleConnsPerHost: perHost,
+				MaxConnsPerHost:     tuning.ConnsPerHost,
+				IdleConnTimeout:     tuning.IdleConn,
+				DisableCompression:  true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}
+	}
+	return &clients{
+		state: "http://" + cfg.Endpoints.State, cloud: "http://" + cfg.Endpoints.Cloud,
+		outside: client(2*tuning.ConnsPerHost, tuning.ConnsPerHost),
+		workers: client(tuning.WorkerConns, 1),
+		answers: answers,
+	}
+}
+
+func (c *clients) call(r coordination.Request) {
+	status, body := c.fetch(r)
+	c.answers <- coordination.Response{ID: r.ID, Status: status, Body: body}
+}
+
+func (c *clients) fetch(r coordination.Request) (status int, body []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
+	defer cancel()
+	base, client := c.state, c.outside
+	switch r.To {
+	case coordination.ToCloud:
+		base = c.cloud
+	case coordination.ToWorker:
+		base, client = "http://"+r.Address, c.workers
+	}
+	var in io.Reader
+	if r.Body != nil {
+		in = bytes.NewReader(r.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, base+r.Path, in)
+	if err != nil {
+		return 0, nil
+	}
+	if r.Body != nil {
+		req.Header.Set("Content-Type", "application/json")
+		// Only requests that may be repeated are sent again by the client.
+		req.GetBody = nil
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(io.LimitReader(resp.Body, tuning.MaxAnswer))
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, body
+}
+
+// retryAfter writes a pause as the header's whole seconds.
+func retryAfter(d time.Duration) int { return max(1, int((d+time.Second-1)/time.Second)) }
--- /dev/null
+++ b/internal/transport/owner.go
@@ -0,0 +1,160 @@
+// Package transport connects the node's state machine to the world: HTTP
+// servers and clients, the links between controllers and the owner's loop. It
+// holds every goroutine, clock and socket of the program.
+package transport
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/coordination"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// Owner is the one owner of all state. It works through two queues of events
+// in batches: what workers, the cloud, the state service and siblings say goes
+// before what users ask.
+type Owner struct {
+	cfg     *config.Config
+	log     *slog.Logger
+	node    *coordination.Node
+	urgent  chan coordination.Event
+	users   chan coordination.Event
+	clients *clients
+	peers   *peers
+	metrics *metrics
+	ready   atomic.Bool
+
+	mu      sync.Mutex
+	nextID  uint64
+	waiting map[uint64]chan coordination.Reply
+}
+
+// NewOwner makes an owner for the node.
+func NewOwner(cfg *config.Config, log *slog.Logger, node *coordination.Node) *Owner {
+	o := &Owner{
+		cfg: cfg, log: log, node: node,
+		urgent:  make(chan coordination.Event, tuning.QueueLen),
+		users:   make(chan coordination.Event, tuning.QueueUsers),
+		metrics: newMetrics(),
+		waiting: map[uint64]chan coordination.Reply{},
+	}
+	o.clients = newClients(cfg, o.urgent)
+	o.peers = newPeers(cfg, log, o.urgent)
+	return o
+}
+
+// Run serves until the context ends or a listener fails.
+func (o *Owner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	failed := make(chan error, 2)
+	if err := o.peers.start(ctx, failed); err != nil {
+		return err
+	}
+	if err := o.serve(ctx, failed); err != nil {
+		return err
+	}
+	go o.loop(ctx)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func (o *Owner) loop(ctx context.Context) {
+	tick := time.NewTicker(tuning.Tick)
+	defer tick.Stop()
+	var batch []coordination.Event
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case e := <-o.urgent:
+			batch = append(batch, e)
+		case e := <-o.users:
+			batch = append(batch, e)
+		}
+		batch = drain(batch, o.urgent, tuning.BatchUrgent)
+		batch = drain(batch, o.users, tuning.BatchUsers)
+		for _, a := range o.node.Step(time.Now(), batch) {
+			o.do(a)
+		}
+		o.ready.Store(o.node.Ready())
+		o.metrics.take(o.node, len(o.urgent), len(o.users))
+	}
+}
+
+// drain moves up to limit events that wait in a queue into the batch.
+func drain(batch []coordination.Event, queue chan coordination.Event, limit int) []coordination.Event {
+	for range limit {
+		select {
+		case e := <-queue:
+			batch = append(batch, e)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (o *Owner) do(a coordination.Action) {
+	switch a := a.(type) {
+	case coordination.Request:
+		go o.clients.call(a)
+	case coordination.Reply:
+		o.mu.Lock()
+		ch := o.waiting[a.ID]
+		delete(o.waiting, a.ID)
+		o.mu.Unlock()
+		if ch != nil {
+			ch <- a
+		}
+	case coordination.PeerSend:
+		o.peers.send(a.Peer, a.Message)
+	case coordination.PeerReset:
+		o.peers.reset(a.Peer)
+	}
+}
+
+// ask hands a request to the owner and waits for its reply. Status 0: none
+// came in time.
+func (o *Owner) ask(ctx context.Context, queue chan coordination.Event, limit time.Duration, event func(id uint64) coordination.Event) coordination.Reply {
+	ch := make(chan coordination.Reply, 1)
+	o.mu.Lock()
+	o.nextID++
+	id := o.nextID
+	o.waiting[id] = ch
+	o.mu.Unlock()
+	forget := func() {
+		o.mu.Lock()
+		delete(o.waiting, id)
+		o.mu.Unlock()
+	}
+	select {
+	case queue <- event(id):
+	default:
+		// Full: answer at once that there is too much to do.
+		forget()
+		o.metrics.sheds.Inc()
+		return coordination.Reply{Status: 503, RetryAfter: time.Second}
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case r := <-ch:
+		return r
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	forget()
+	return coordination.Reply{Status: 504}
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,245 @@
+// Package tuning holds every constant of gappond, each with its unit and the
+// reason for its value. What depends on the site is derived from the
+// platform's settings; what operators may set is a field of Operator.
+package tuning
+
+import "time"
+
+// Leadership.
+const (
+	// ClaimTTL is how long the leader's claim outlives its last renewal. Short
+	// enough that a crashed leader is replaced before workers' reports have
+	// gone unanswered for two intervals; long enough for two lost renewals.
+	ClaimTTL = 3 * time.Second
+	// ClaimRenew is how often the claim is renewed: three tries within the TTL.
+	ClaimRenew = 900 * time.Millisecond
+	// ClaimRetry is the pause after a failed attempt to claim.
+	ClaimRetry = 200 * time.Millisecond
+	// AuthorityMargin is kept free between grace + worker lease and the time a
+	// cancellation may take: orders and reports need a few seconds on the way.
+	AuthorityMargin = 6 * time.Second
+	// MaxGrace bounds the grace whatever the settings say.
+	MaxGrace = 20 * time.Second
+	// ClockDrift is the largest disagreement of two steady clocks, as a share
+	// (0.05% each way, doubled).
+	ClockDrift = 0.001
+	// LapseMargin is added before a worker's lease is presumed to have lapsed:
+	// the leases themselves are exact, processing is not.
+	LapseMargin = 1500 * time.Millisecond
+)
+
+// Owner loop.
+const (
+	// Tick is how often the owner looks at its timers. A tick without due work
+	// costs a few microseconds.
+	Tick = 100 * time.Millisecond
+	// QueueLen bounds the owner's queue of commands; beyond it requests are shed.
+	QueueLen = 4096
+	// QueueUsers bounds users' requests under way at one node, so that reports
+	// always find room in the queue.
+	QueueUsers = 512
+)
+
+// State service.
+const (
+	// StateTimeout bounds one request; answers usually take under 10 ms and
+	// now and then a few hundred.
+	StateTimeout = 1500 * time.Millisecond
+	// WatchBlock is how long a watch is held open.
+	WatchBlock = 10 * time.Second
+	// WatchPause is the pause before a watch that returned is opened again, so
+	// that a burst of changes costs one request and not one each.
+	WatchPause = 20 * time.Millisecond
+	// RetryPause is the pause after a refused or lost state request.
+	RetryPause = 250 * time.Millisecond
+	// ConflictPause is left after a refused transaction for the keys to be read.
+	ConflictPause = 50 * time.Millisecond
+	// RangePage is the number of keys asked for at once.
+	RangePage = 500
+	// PollBatch is how long polls wait to be checked by one transaction.
+	PollBatch = 30 * time.Millisecond
+	// UserDeadline bounds a user's request: users give up polls after 2 s and
+	// submissions after 5 s.
+	UserDeadline = 1800 * time.Millisecond
+	// LeaderShare is the part of the state service's write budget that the
+	// leader uses; the siblings share the rest for submissions.
+	LeaderShare = 0.6
+	// TxnBytes is the largest body of a transaction, below the 64 KiB limit.
+	TxnBytes = 60 << 10
+	// TaskBytes is a generous size of one task's entry in a record, by which
+	// the number of tasks in a record follows from the value limit.
+	TaskBytes = 72
+	// SpecBytes is kept free in a job's first record for its description.
+	SpecBytes = 3 << 10
+	// FinalCache is how many final states a node remembers; they never change.
+	FinalCache = 20_000
+)
+
+// Workers.
+const (
+	// SilentReports is how many report intervals a worker may be silent before
+	// it is probed: reports jitter by a quarter and one may be lost.
+	SilentReports = 2.3
+	// ProbeTimeout bounds a probe and a direct order.
+	ProbeTimeout = 1200 * time.Millisecond
+	// ProbesToDelete is the number of unanswered probes after which a silent
+	// machine is deleted.
+	ProbesToDelete = 2
+	// SilentShare is the part of the fleet that may be silent at once before
+	// the network is suspected instead of the machines.
+	SilentShare = 0.34
+	// RelayMemory is how long a follower remembers that it redirected a worker;
+	// one that comes back within it could not reach the leader and is carried.
+	RelayMemory = 30 * time.Second
+	// RelayTimeout bounds a carried report; the worker gives up after 4 s.
+	RelayTimeout = 3 * time.Second
+	// StopGrace is added to a job's saving time in an orderly stop, seconds.
+	StopGrace = 3.0
+	// StopResend is the pause before a direct order is repeated.
+	StopResend = 1500 * time.Millisecond
+)
+
+// Cloud.
+const (
+	// CloudTimeout bounds a call; answers take some hundred milliseconds.
+	CloudTimeout = 5 * time.Second
+	// ListEvery is the interval between machine lists, well inside their lag.
+	ListEvery = 4 * time.Second
+	// TypesEvery is the interval between price lists.
+	TypesEvery = 30 * time.Second
+	// ListPage is the page size of the machine list, the largest allowed.
+	ListPage = 500
+	// RentCount is the most machines one request may name.
+	RentCount = 50
+	// DeleteCount is the most names one deletion may carry.
+	DeleteCount = 100
+	// NoCapacityPause is how long a refused type, zone and kind is left alone.
+	NoCapacityPause = 12 * time.Second
+	// BootPatience is how many nominal boot times a machine may take before
+	// another is rented in its place.
+	BootPatience = 2.2
+	// BootSlack is added to BootPatience.
+	BootSlack = 5 * time.Second
+)
+
+// Trust.
+const (
+	// MachineErrors is how many different jobs may fail on a machine, none
+	// succeeding between, before it is returned.
+	MachineErrors = 2
+	// JobErrors is how many different machines a job may fail on before the
+	// job, not the machines, is blamed.
+	JobErrors = 3
+	// ErrorPause is the pause before a job that was blamed is tried again.
+	ErrorPause = 10 * time.Second
+)
+
+// Operator holds what operators may set in the properties file.
+type Operator struct {
+	// IdleReturn is how long a machine may be idle before it is returned.
+	// The cloud charges a minute at least, and a boot costs most of one.
+	IdleReturn time.Duration
+	// SparesPerZone is the number of idle machines kept in every zone.
+	SparesPerZone int
+	// BarAfter is how long a gang waits before smaller jobs no longer pass it.
+	BarAfter time.Duration
+	// DirectStarts sends starts straight to the workers instead of leaving
+	// them for the next report.
+	DirectStarts bool
+}
+
+// Defaults are the operators' settings when none are given.
+func Defaults() Operator {
+	return Operator{IdleReturn: 30 * time.Second, SparesPerZone: 1, BarAfter: 10 * time.Second, DirectStarts: true}
+}
+
+// Nodes.
+const (
+	// WatchOverrun is how much longer than asked a watch may take to return.
+	WatchOverrun = 3 * time.Second
+	// AloneAfter is how long a node may miss the state service, while a sibling
+	// reaches it, before it asks to be spared users' requests.
+	AloneAfter = 2 * time.Second
+	// PeerBeat is the interval of the siblings' beats.
+	PeerBeat = time.Second
+	// PeerSilent is how long a link may be silent before it counts as cut.
+	PeerSilent = 3 * time.Second
+	// PeerHops bounds the nodes that carry one message.
+	PeerHops = 2
+	// ClaimJitter spreads the candidates' attempts.
+	ClaimJitter = 120 * time.Millisecond
+)
+
+// Planning.
+const (
+	// PlanEvery is the least pause between two passes over the queue.
+	PlanEvery = 100 * time.Millisecond
+	// PlanIdle is the longest pause between two passes: time-outs have no event.
+	PlanIdle = time.Second
+	// SlotCPUs is the share of processors that makes a slot on machines
+	// without GPUs; memory follows in the machine's own proportion.
+	SlotCPUs = 4.0
+	// AvoidFor is how long a job avoids a machine that refused its task.
+	AvoidFor = 15 * time.Second
+	// HoldFor is how long room freed by preemption is held for its job.
+	HoldFor = 25 * time.Second
+)
+
+// OrdersAtOnce bounds the commands in one answer: with 100 bytes each they
+// keep within a line of 64 KiB.
+const OrdersAtOnce = 400
+
+// Renting.
+const (
+	// CloudShare is the part of the cloud's call budget that the leader uses;
+	// the siblings only ask for prices now and then.
+	CloudShare = 0.8
+	// RentEvery is the pause between two reckonings of demand.
+	RentEvery = time.Second
+	// RentAfterTakeover leaves a new leader time to hear which machines it has.
+	RentAfterTakeover = 5 * time.Second
+	// RentTries is how often a request is sent before it is given up; what it
+	// rented all the same shows in the machine list.
+	RentTries = 5
+)
+
+// Sockets.
+const (
+	// DialTimeout bounds connecting; packets cross the region in milliseconds.
+	DialTimeout = time.Second
+	// ConnsPerHost bounds the connections to one outside system.
+	ConnsPerHost = 16
+	// WorkerConns is how many idle connections to workers are kept.
+	WorkerConns = 64
+	// IdleConn is how long an idle connection to a worker or outside system is kept.
+	IdleConn = 60 * time.Second
+	// IdleServer is how long an idle connection of a user or worker is kept:
+	// users poll every 5 s, workers report more often.
+	IdleServer = 60 * time.Second
+	// ReadTimeout bounds the reading of one request, so that slow or half-open
+	// clients never hold a socket for long.
+	ReadTimeout = 5 * time.Second
+	// AnswerLimit bounds the owner's answer; users give up after 5 s.
+	AnswerLimit = 4 * time.Second
+	// MaxAnswer bounds an answer from outside. A watch's answer has no limit of
+	// its own: 10,000 changes of a few KiB are the most that is kept.
+	MaxAnswer = 32 << 20
+	// ServerSockets is the share of the socket limit for users and workers.
+	ServerSockets = 0.75
+	// PeerQueue bounds the messages that wait for a link.
+	PeerQueue = 512
+	// PeerRedial is the pause before a sibling is dialled again.
+	PeerRedial = 500 * time.Millisecond
+	// PeerWrite bounds the writing of one frame.
+	PeerWrite = 3 * time.Second
+	// PeerRead is how long a link may be silent: five beats.
+	PeerRead = 5 * time.Second
+	// BatchUrgent and BatchUsers bound one batch of the owner. Users' requests
+	// are fewer, so that reports never wait long behind them.
+	BatchUrgent = 256
+	BatchUsers  = 32
+	// GCPercent and MemoryShare trade memory, of which there is enough, for
+	// processor time, of which there is little.
+	GCPercent   = 300
+	MemoryShare = 0.6
+)
