--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -25,6 +25,9 @@
 const (
 	ShapeArray = "array"
 	ShapeGang  = "gang"
+	// ShapeService is a set of tasks that run until their user cancels them.
+	// It is placed like an array. See docs/questions.md.
+	ShapeService = "standing"
 )
 
 // Phases of a job as users see them.
@@ -228,7 +231,7 @@
 	if !ValidID(j.ID) {
 		bad = append(bad, "uid")
 	}
-	if j.Shape != ShapeArray && j.Shape != ShapeGang {
+	if j.Shape != ShapeArray && j.Shape != ShapeGang && j.Shape != ShapeService {
 		bad = append(bad, "shape")
 	}
 	if _, ok := ParseRank(j.Priority); !ok {
