--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -43,10 +43,17 @@
 
 // spareRoom is a machine, there or on its way, in the reckoning of demand.
 type spareRoom struct {
+	m     *machine // nil while it is only asked for
 	offer offer
 	left  room
 }
 
+// serves says whether a job could use the room. Room that the job avoids must
+// not count, or it would wait for it instead of for a machine to rent.
+func (l *leader) serves(r *spareRoom, j *job) bool {
+	return allows(j.spec, r.offer.typeName, r.offer.zone, r.offer.spot) && (r.m == nil || !l.n.now.Before(j.avoid[r.m.id]))
+}
+
 func (l *leader) tickFleet() {
 	f := &l.fleet
 	if f.calls == nil {
@@ -226,11 +233,11 @@
 				left.add(c.j.spec, 1)
 			}
 		}
-		rooms = append(rooms, &spareRoom{offer{m.typeName, m.zone, m.spot}, left})
+		rooms = append(rooms, &spareRoom{m, offer{m.typeName, m.zone, m.spot}, left})
 	}
 	for _, r := range f.rentals {
 		for range r.count {
-			rooms = append(rooms, &spareRoom{r.offer, fullRoom(l.n.types[r.offer.typeName])})
+			rooms = append(rooms, &spareRoom{nil, r.offer, fullRoom(l.n.types[r.offer.typeName])})
 		}
 	}
 	want := map[offer]int{}
@@ -315,7 +322,7 @@
 	for _, z := range l.n.cfg.Cluster.Zones {
 		lack := d.tasks
 		for _, r := range rooms {
-			if r.offer.zone == z && allows(j.spec, r.offer.typeName, z, r.offer.spot) {
+			if r.offer.zone == z && l.serves(r, j) {
 				lack -= r.left.holds(j.spec, lack)
 			}
 		}
@@ -332,7 +339,7 @@
 	}
 	need := d.tasks
 	for _, r := range rooms {
-		if r.offer.zone == bestZone && allows(j.spec, r.offer.typeName, bestZone, r.offer.spot) {
+		if r.offer.zone == bestZone && l.serves(r, j) {
 			n := r.left.holds(j.spec, need)
 			r.left.add(j.spec, -n)
 			need -= n
@@ -344,37 +351,36 @@
 	return rooms
 }
 
-// reckonTasks takes room for tasks that may be anywhere.
+// reckonTasks takes room for tasks that may be anywhere, within what the job
+// allows of each zone.
 func (l *leader) reckonTasks(d demand, rooms []*spareRoom, want map[offer]int) []*spareRoom {
 	j := d.j
 	need := d.tasks
+	limit, only := l.zoneLimits(j)
+	take := func(r *spareRoom) {
+		n := r.left.holds(j.spec, min(need, limit[r.offer.zone]))
+		r.left.add(j.spec, -n)
+		need -= n
+		limit[r.offer.zone] -= n
+	}
 	for _, r := range rooms {
-		if allows(j.spec, r.offer.typeName, r.offer.zone, r.offer.spot) {
-			n := r.left.holds(j.spec, need)
-			r.left.add(j.spec, -n)
-			need -= n
+		if l.serves(r, j) && (only == "" || only == r.offer.zone) {
+			take(r)
 		}
 	}
-	if need == 0 {
-		return rooms
-	}
-	offers := l.offers(j, "")
-	if len(offers) == 0 {
-		return rooms
-	}
-	for i := 0; need > 0; i++ {
-		// Equal offers in different zones take turns.
-		o := offers[0]
-		if j.spec.Spread && len(offers) > 1 {
-			o = offers[i%len(offers)]
+	for _, o := range l.offers(j, only) {
+		for need > 0 && limit[o.zone] > 0 {
+			r := &spareRoom{nil, o, fullRoom(l.n.types[o.typeName])}
+			take(r)
+			rooms = append(rooms, r)
+			want[o]++
 		}
-		rooms = append(rooms, l.newRoom(o, j, &need, want))
 	}
 	return rooms
 }
 
 func (l *leader) newRoom(o offer, j *job, need *int, want map[offer]int) *spareRoom {
-	r := &spareRoom{o, fullRoom(l.n.types[o.typeName])}
+	r := &spareRoom{nil, o, fullRoom(l.n.types[o.typeName])}
 	n := r.left.holds(j.spec, *need)
 	r.left.add(j.spec, -n)
 	*need -= n
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -106,7 +106,11 @@
 	grace     float64
 	stopSent  time.Time
 	inReply   bool // its start is in the answer to the last report
-	stray     bool // no record asks for it
+	// loaded copies come from a predecessor's record, which does not say whether
+	// they ended since: what they took may have been given to others by then.
+	// So they are never started again; one that a worker does not have is gone.
+	loaded bool
+	stray  bool // no record asks for it
 }
 
 func (n *Node) takeOver() {
@@ -215,7 +219,7 @@
 		}
 		m := l.machine(t.Machine, "", "", "", false)
 		c := l.addCopy(j, t.Index, t.Attempt, m, t.Session)
-		c.committed, c.sent = true, true
+		c.committed, c.sent, c.loaded = true, true, true
 		jt.active = c
 		j.started = true
 		m.session = max(m.session, t.Session)
@@ -243,6 +247,7 @@
 	if j.copies[c.key] != c {
 		return
 	}
+	l.n.log.Debug("task gone", "job", j.id, "task", c.key.index, "attempt", c.key.attempt, "machine", m.id, "state", c.state)
 	delete(j.copies, c.key)
 	delete(m.copies, taskKey{j.id, c.key.index, c.key.attempt})
 	m.slots.release(c.slots)
@@ -324,7 +329,11 @@
 // endGang ends a gang's attempt: every copy is told to stop at once, so that
 // an orderly stop reaches all of them within the gang's patience.
 func (l *leader) endGang(j *job, grace float64) {
+	if len(j.copies) == 0 {
+		return // nothing would ever end the stop
+	}
 	j.stopping, j.ending = true, l.n.now
+	l.n.log.Debug("gang stops", "job", j.id, "attempt", j.attempt, "grace", grace)
 	for _, c := range j.list() {
 		l.stop(c, grace)
 	}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -87,15 +87,19 @@
 // left, if one_zone has been decided.
 func (l *leader) zoneLimits(j *job) (limit map[string]int, only string) {
 	limit = map[string]int{}
-	for c := range j.copies {
-		m := l.machines[c.machine]
-		limit[m.zone]++
-		only = m.zone
+	for _, c := range j.copies {
+		limit[c.m.zone]++
+		only = c.m.zone
 	}
 	most := len(j.tasks)
 	if j.spec.Spread {
 		most = (len(j.tasks) + 1) / 2
 	}
+	if j.spec.OneZone && len(limit) > 1 {
+		// Old copies that may still be there disagree: none may join them
+		// until all but one zone's are proven gone.
+		most = 0
+	}
 	for _, z := range l.n.cfg.Cluster.Zones {
 		limit[z] = max(0, most-limit[z])
 	}
@@ -374,6 +378,7 @@
 	t := &j.tasks[index]
 	c := l.addCopy(j, index, attempt, m, m.session)
 	t.attempt, t.active = attempt, c
+	l.n.log.Debug("task placed", "job", j.id, "task", index, "attempt", attempt, "machine", m.id)
 	if m.hold == j {
 		m.hold = nil
 	}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -177,7 +177,7 @@
 			case seen[taskKey{c.j.id, c.key.index, c.key.attempt}] || !c.sent || c.direct > 0 || c.pinned:
 			case c.inReply && !answered:
 				// The start may be in an answer that the worker has yet to read.
-			case c.state != "" || c.stop:
+			case c.state != "" || c.stop || c.loaded:
 				l.drop(c)
 			}
 		}
@@ -236,11 +236,12 @@
 // exited judges a copy's end.
 func (l *leader) exited(m *machine, c *taskCopy, t protocol.TaskReport) {
 	j := c.j
+	l.n.log.Debug("task exited", "job", j.id, "task", c.key.index, "attempt", c.key.attempt, "machine", m.id, "cause", t.Cause, "saved", t.Saved)
 	switch t.Cause {
 	case protocol.CauseDone, protocol.CauseStopped, protocol.CausePeers, protocol.CauseAlone:
 	case protocol.CauseError:
 		j.failures[m.id] = true
-		j.avoid[m.id] = l.n.now.Add(time.Hour)
+		j.avoid[m.id] = l.n.now.Add(tuning.AvoidFailed)
 		if len(j.failures) >= tuning.JobErrors {
 			// It fails everywhere: the job is to blame, not the machines.
 			j.retryAt = l.n.now.Add(tuning.ErrorPause)
@@ -278,6 +279,9 @@
 
 // preempt stops a copy in good order; a gang stops as a whole.
 func (l *leader) preempt(c *taskCopy) {
+	if c.j.copies[c.key] != c {
+		return // went with another task of its gang
+	}
 	grace := c.j.spec.SaveS + tuning.StopGrace
 	if c.j.spec.Gang() {
 		if !c.j.stopping {
@@ -319,7 +323,7 @@
 		}
 	}
 	for _, c := range list {
-		if c.stop || !c.committed || c.state != "" {
+		if c.stop || !c.committed || c.state != "" || c.loaded {
 			continue
 		}
 		if c.j.spec.Gang() && (len(c.j.dirty) > 0 || c.j.writing) {
@@ -341,6 +345,7 @@
 }
 
 func (l *leader) startOrder(c *taskCopy, inReply bool) protocol.Command {
+	l.n.log.Debug("start", "job", c.j.id, "task", c.key.index, "attempt", c.key.attempt, "machine", c.m.id, "direct", !inReply)
 	if !c.sent {
 		l.n.metrics.Starts++
 		l.n.metrics.WaitSeconds = append(l.n.metrics.WaitSeconds, l.n.now.Sub(c.j.at).Seconds())
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -133,6 +134,9 @@
 // rule at every step, and that all jobs are over once the troubles are.
 func TestRulesHold(t *testing.T) {
 	days := 24
+	if n, err := strconv.Atoi(os.Getenv("SIMULATION_DAYS")); err == nil {
+		days = n
+	}
 	if testing.Short() {
 		days = 6
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -181,6 +181,9 @@
 	SlotCPUs = 4.0
 	// AvoidFor is how long a job avoids a machine that refused its task.
 	AvoidFor = 15 * time.Second
+	// AvoidFailed is how long a job avoids a machine on which its task failed:
+	// long enough for another job to show whether the machine is to blame.
+	AvoidFailed = 2 * time.Minute
 	// HoldFor is how long room freed by preemption is held for its job.
 	HoldFor = 25 * time.Second
 )
