--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -93,21 +93,40 @@
 	case len(m.copies) > 0 || !m.reported || m.lapsed:
 	case m.noticed || m.distrust || m.closed:
 		l.delete(m, "emptied")
-	case m.hold == nil && now.Sub(m.idleSince) > l.n.cfg.Operator.IdleReturn && l.spares(m) > l.n.cfg.Operator.SparesPerZone:
+	case m.hold == nil && now.Sub(m.idleSince) > l.n.cfg.Operator.IdleReturn && !l.spareWanted(m):
 		l.delete(m, "idle")
 	}
 }
 
-// spares counts the idle machines in a machine's zone, itself included, for
-// which a cheaper one would not do as well.
-func (l *leader) spares(m *machine) int {
-	n := 0
+// spareWanted says whether an idle machine is one of its zone's spares. Spares
+// are kept while jobs come; a machine that only carries work of the lowest
+// priority is a spare too, for it yields at once.
+func (l *leader) spareWanted(m *machine) bool {
+	now := l.n.now
+	if now.Sub(l.lastJob) > tuning.SpareMemory {
+		return false
+	}
+	ordinary := now.Sub(l.lastOrdinary) <= tuning.SpareMemory
+	if ordinary && m.spot {
+		return false // jobs that may not use spot machines need the spare too
+	}
+	others := 0
 	for _, o := range l.machines {
-		if o.zone == m.zone && len(o.copies) == 0 && l.open(o) {
-			n++
+		if o != m && o.zone == m.zone && l.open(o) && !(ordinary && o.spot) && o.yields() {
+			others++
+		}
+	}
+	return others < l.n.cfg.Operator.SparesPerZone
+}
+
+// yields says whether all that a machine carries is of the lowest priority.
+func (m *machine) yields() bool {
+	for _, c := range m.copies {
+		if c.j.rank > protocol.RankIdle {
+			return false
 		}
 	}
-	return n
+	return true
 }
 
 // delete marks a machine to be returned.
@@ -242,7 +261,7 @@
 	}
 	want := map[offer]int{}
 	for _, d := range f.demand {
-		if d.j.gone || d.j.cancelled {
+		if d.j.gone || d.j.cancelled || l.canWait(d.j) {
 			continue
 		}
 		if d.j.spec.Gang() && d.j.spec.OneZone {
@@ -272,6 +291,25 @@
 	}
 }
 
+// canWait says whether a job's deadline leaves time to wait for machines that
+// others free: renting later would still do.
+func (l *leader) canWait(j *job) bool {
+	if j.spec.DeadlineS <= 0 || j.spec.Gang() {
+		return false
+	}
+	boot, fetch := 0.0, 0.0
+	for _, t := range l.n.types {
+		if t.Fits(j.spec) {
+			boot = max(boot, t.BootS)
+			if t.FetchGBPerS > 0 {
+				fetch = max(fetch, j.spec.ImageGB/t.FetchGBPerS)
+			}
+		}
+	}
+	need := seconds(j.spec.EstimateS*tuning.EstimateSlack + fetch + boot*tuning.BootSlackShare)
+	return l.n.now.Add(need).Before(j.at.Add(seconds(j.spec.DeadlineS)))
+}
+
 // offers lists what could be rented for a job, the cheapest first.
 func (l *leader) offers(j *job, zone string) []offer {
 	type priced struct {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -23,15 +23,16 @@
 	teams    map[string]*team
 	waiting  int
 
-	dirty     []*job     // jobs with unwritten changes, in the order they came
-	rooms     []*machine // machines whose room record is to be written
-	cleanup   []string   // keys to delete when there is time
-	inFlight  *commit
-	commitAt  time.Time
-	plan      bool // something changed that placement may depend on
-	planAt    time.Time
-	fleet     fleet
-	directory time.Time
+	dirty    []*job     // jobs with unwritten changes, in the order they came
+	rooms    []*machine // machines whose room record is to be written
+	cleanup  []string   // keys to delete when there is time
+	inFlight *commit
+	commitAt time.Time
+	plan     bool // something changed that placement may depend on
+	planAt   time.Time
+	fleet    fleet
+	// when a job last came, and one that may not use spot machines
+	lastJob, lastOrdinary time.Time
 }
 
 // team is a team's use of the machines.
@@ -55,18 +56,19 @@
 	done      int
 	stamps    []uint64 // revision of every record, the first is the job's own
 
-	copies   map[copyKey]*taskCopy
-	dirty    map[int]bool // records that must be written
-	queued   bool         // in the leader's list of dirty jobs
-	writing  bool         // in the transaction under way
-	gone     bool         // the final record is committed
-	stopping bool         // the gang's attempt is being ended
-	ending   time.Time    // when the stop began
-	retryAt  time.Time
-	failures map[string]bool // machines on which a task failed
-	avoid    map[string]time.Time
-	waits    time.Time // since when something waits for its place
-	started  bool
+	copies     map[copyKey]*taskCopy
+	dirty      map[int]bool // records that must be written
+	queued     bool         // in the leader's list of dirty jobs
+	writing    bool         // in the transaction under way
+	gone       bool         // the final record is committed
+	guaranteed bool         // fits into its team's guarantee
+	stopping   bool         // the gang's attempt is being ended
+	ending     time.Time    // when the stop began
+	retryAt    time.Time
+	failures   map[string]bool // machines on which a task failed
+	avoid      map[string]time.Time
+	waits      time.Time // since when something waits for its place
+	started    bool
 }
 
 // task is one task of a job. A task has at most one copy that it is waiting
@@ -199,6 +201,10 @@
 	}
 	j.stamps[0] = stamp
 	l.jobs[j.id] = j
+	l.lastJob = l.n.now
+	if !s.Spot {
+		l.lastOrdinary = l.n.now
+	}
 	l.addTasks(j, rec.Tasks)
 	return j
 }
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -43,7 +43,7 @@
 		}
 	}
 	queue := l.ordered()
-	within := l.withinGuarantee(queue)
+	l.withinGuarantee(queue)
 	var waiting []demand
 	for _, j := range queue {
 		n := l.wants(j)
@@ -61,7 +61,7 @@
 			continue // its team's limit is in the way, not the machines
 		}
 		waiting = append(waiting, demand{j, n})
-		l.makeRoom(j, n, within[j])
+		l.makeRoom(j, n)
 		if j.spec.Gang() && now.Sub(j.waits) > l.n.cfg.Operator.BarAfter {
 			l.bar(j)
 		}
@@ -94,12 +94,11 @@
 
 // withinGuarantee tells the jobs that fit into their team's guarantee together
 // with the team's earlier unfinished jobs.
-func (l *leader) withinGuarantee(queue []*job) map[*job]bool {
+func (l *leader) withinGuarantee(queue []*job) {
 	byArrival := slices.Clone(queue)
 	slices.SortFunc(byArrival, func(a, b *job) int { return cmp.Or(cmp.Compare(a.seq, b.seq), cmp.Compare(a.id, b.id)) })
 	type sum struct{ cpus, gpus float64 }
 	used := map[string]sum{}
-	within := map[*job]bool{}
 	for _, j := range byArrival {
 		t := l.teams[j.spec.Team]
 		if t == nil || j.cancelled {
@@ -111,10 +110,9 @@
 		u.gpus += j.spec.GPUs * n
 		used[j.spec.Team] = u
 		some := t.guaranteeCPUs > 0 || t.guaranteeGPUs > 0
-		within[j] = some && (t.guaranteeCPUs == 0 || u.cpus <= t.guaranteeCPUs+amountSlack) &&
+		j.guaranteed = some && (t.guaranteeCPUs == 0 || u.cpus <= t.guaranteeCPUs+amountSlack) &&
 			(t.guaranteeGPUs == 0 || u.gpus <= t.guaranteeGPUs+amountSlack)
 	}
-	return within
 }
 
 // beyond says whether a team uses more than its guarantee.
@@ -123,15 +121,17 @@
 }
 
 // mayStop says whether a copy may be stopped to make room for the job.
-func (l *leader) mayStop(c *taskCopy, j *job, guaranteed bool) bool {
+func (l *leader) mayStop(c *taskCopy, j *job) bool {
 	if c.stop || c.j == j || c.j.gone || c.j.complete() {
 		return false
 	}
 	if c.j.rank < j.rank {
 		return true
 	}
+	// What fits into its own team's guarantee never yields to another's: two
+	// teams would otherwise take the same machines from each other in turn.
 	t := l.teams[c.j.spec.Team]
-	return guaranteed && c.j.spec.Team != j.spec.Team && t != nil && t.beyond()
+	return j.guaranteed && c.j.spec.Team != j.spec.Team && t != nil && t.beyond() && !c.j.guaranteed
 }
 
 // eviction is what must stop on one machine so that count tasks fit.
@@ -144,7 +144,7 @@
 
 // makeRoom stops work that must yield to a waiting job, where that frees
 // enough room for it, and holds the room for it.
-func (l *leader) makeRoom(j *job, n int, guaranteed bool) {
+func (l *leader) makeRoom(j *job, n int) {
 	for _, m := range l.machines {
 		if m.hold == j {
 			return // room is being made already
@@ -169,7 +169,7 @@
 			if c <= 0 {
 				continue
 			}
-			e = l.evict(j, e.m, c, guaranteed)
+			e = l.evict(j, e.m, c)
 			per[e.m.zone] += c
 			need -= e.count
 			cost += e.cost
@@ -187,7 +187,7 @@
 			if zone != "" && m.zone != zone || only != "" && m.zone != only || !l.usable(j, m) {
 				continue
 			}
-			if e := l.evict(j, m, n, guaranteed); e.count > 0 {
+			if e := l.evict(j, m, n); e.count > 0 {
 				list = append(list, e)
 			}
 		}
@@ -211,13 +211,13 @@
 
 // evict works out what to stop on a machine so that up to count tasks fit:
 // the lowest priority first, then what loses least.
-func (l *leader) evict(j *job, m *machine, count int, guaranteed bool) eviction {
+func (l *leader) evict(j *job, m *machine, count int) eviction {
 	left := l.left(m)
 	var can []*taskCopy
 	for _, c := range sortedCopies(m) {
 		if c.stop {
 			left.add(c.j.spec, 1) // on its way out already
-		} else if l.mayStop(c, j, guaranteed) {
+		} else if l.mayStop(c, j) {
 			can = append(can, c)
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -201,6 +201,13 @@
 	RentEvery = time.Second
 	// RentAfterTakeover leaves a new leader time to hear which machines it has.
 	RentAfterTakeover = 5 * time.Second
+	// SpareMemory is how long spares are kept after the last job came: a few
+	// boot times, within which the next one would miss them.
+	SpareMemory = 100 * time.Second
+	// EstimateSlack stretches an owner's estimate, often wrong by half.
+	EstimateSlack = 1.3
+	// BootSlackShare stretches a nominal boot time.
+	BootSlackShare = 1.2
 	// RentTries is how often a request is sent before it is given up; what it
 	// rented all the same shows in the machine list.
 	RentTries = 5
