--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -200,6 +200,7 @@
 		j.seq = stamp // never written since its submission
 	}
 	j.stamps[0] = stamp
+	l.n.log.Debug("job", "job", j.id, "class", s.Class, "shape", s.Shape, "tasks", s.Tasks, "gpus", s.GPUs, "team", s.Team, "estimate", s.EstimateS, "deadline", s.DeadlineS, "age", l.n.now.Sub(j.at).Seconds())
 	l.jobs[j.id] = j
 	l.lastJob = l.n.now
 	if !s.Spot {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -128,10 +128,11 @@
 	if c.j.rank < j.rank {
 		return true
 	}
-	// What fits into its own team's guarantee never yields to another's: two
-	// teams would otherwise take the same machines from each other in turn.
+	// What fits into its own team's guarantee never yields to another's, and
+	// what has a higher priority never yields to a lower one, though it might:
+	// the queue would give the machines back, and so in turn for ever.
 	t := l.teams[c.j.spec.Team]
-	return j.guaranteed && c.j.spec.Team != j.spec.Team && t != nil && t.beyond() && !c.j.guaranteed
+	return j.guaranteed && c.j.spec.Team != j.spec.Team && t != nil && t.beyond() && !c.j.guaranteed && c.j.rank <= j.rank
 }
 
 // eviction is what must stop on one machine so that count tasks fit.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -211,6 +211,7 @@
 		c.sent = true
 		if t.State == protocol.TaskRunning && c.running.IsZero() {
 			c.running = l.n.now
+			l.n.log.Debug("task runs", "job", c.j.id, "task", key.index, "attempt", key.attempt, "machine", m.id)
 			c.j.started = true
 		}
 		return
