Rent spot machines at once, ordinary ones when a job's slack is used up

Cause: arrays with slack waited even for the cheapest machines, so the first burst ran on the six machines of the start.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -248,8 +248,8 @@
 		}
 		left := l.left(m)
 		for _, c := range m.copies {
-			if c.stop {
-				left.add(c.j.spec, 1)
+			if c.stop || l.endsWithin(c, seconds(t.BootS)) {
+				left.add(c.j.spec, 1) // free before a rented machine would be up
 			}
 		}
 		rooms = append(rooms, &spareRoom{m, offer{m.typeName, m.zone, m.spot}, left})
@@ -261,7 +261,7 @@
 	}
 	want := map[offer]int{}
 	for _, d := range f.demand {
-		if d.j.gone || d.j.cancelled || l.canWait(d.j) {
+		if d.j.gone || d.j.cancelled {
 			continue
 		}
 		if d.j.spec.Gang() && d.j.spec.OneZone {
@@ -291,6 +291,17 @@
 	}
 }
 
+// endsWithin says whether a copy is likely to end within a span, by its
+// owner's estimate; one that has outrun its estimate may take as long again.
+func (l *leader) endsWithin(c *taskCopy, d time.Duration) bool {
+	if c.running.IsZero() {
+		return false
+	}
+	estimate := seconds(c.j.spec.EstimateS * tuning.EstimateSlack)
+	left := estimate - l.n.now.Sub(c.running)
+	return left > 0 && left <= d
+}
+
 // canWait says whether a job's deadline leaves time to wait for machines that
 // others free: renting later would still do.
 func (l *leader) canWait(j *job) bool {
@@ -406,7 +417,11 @@
 			take(r)
 		}
 	}
+	wait := l.canWait(j)
 	for _, o := range l.offers(j, only) {
+		if wait && !o.spot {
+			continue // an ordinary machine is for when time runs out
+		}
 		for need > 0 && limit[o.zone] > 0 {
 			r := &spareRoom{nil, o, fullRoom(l.n.types[o.typeName])}
 			take(r)
