--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -150,7 +150,7 @@
 
 // Defaults are the operators' settings when none are given.
 func Defaults() Operator {
-	return Operator{IdleReturn: 30 * time.Second, SparesPerZone: 1, BarAfter: 10 * time.Second, DirectStarts: true}
+	return Operator{IdleReturn: 20 * time.Second, SparesPerZone: 1, BarAfter: 10 * time.Second, DirectStarts: true}
 }
 
 // Nodes.
