Arrays with deadlines take their turn by the moment they must start

Tried first as a comparison between arrays only, which is no order once arrays without deadlines mix in.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -49,7 +49,8 @@
 	rank      protocol.Rank
 	seq       uint64
 	at        time.Time
-	attempt   uint64 // the gang's epoch
+	due       time.Time // an array must start by then to meet its deadline
+	attempt   uint64    // the gang's epoch
 	cancelled bool
 	chunk     int
 	tasks     []task
@@ -170,11 +171,24 @@
 		list = append(list, j)
 	}
 	slices.SortFunc(list, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.seq, b.seq), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(b.rank, a.rank), a.turn(l.n.now).Compare(b.turn(l.n.now)), cmp.Compare(a.seq, b.seq), cmp.Compare(a.id, b.id))
 	})
 	return list
 }
 
+// turn is a job's place among those of its priority: the moment it came or,
+// for an array with a deadline, the moment by which it must start to meet it.
+// An array that is late already can wait for those that are not.
+func (j *job) turn(now time.Time) time.Time {
+	switch {
+	case j.due.IsZero():
+		return j.at
+	case now.After(j.due):
+		return j.due.Add(tuning.LateTurn)
+	}
+	return j.due
+}
+
 // fleetOrder lists the machines by name, which is the order of their creation.
 func (l *leader) fleetOrder() []*machine {
 	list := make([]*machine, 0, len(l.machines))
@@ -200,6 +214,9 @@
 		j.seq = stamp // never written since its submission
 	}
 	j.stamps[0] = stamp
+	if s.DeadlineS > 0 && !s.Gang() {
+		j.due = j.at.Add(seconds(s.DeadlineS - s.EstimateS))
+	}
 	l.n.log.Debug("job", "job", j.id, "class", s.Class, "shape", s.Shape, "tasks", s.Tasks, "gpus", s.GPUs, "team", s.Team, "estimate", s.EstimateS, "deadline", s.DeadlineS, "age", l.n.now.Sub(j.at).Seconds())
 	l.jobs[j.id] = j
 	l.lastJob = l.n.now
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -184,6 +184,9 @@
 	// AvoidFailed is how long a job avoids a machine on which its task failed:
 	// long enough for another job to show whether the machine is to blame.
 	AvoidFailed = 2 * time.Minute
+	// LateTurn is how far back an array goes in the queue once it is too late
+	// to meet its deadline.
+	LateTurn = 5 * time.Minute
 	// HoldFor is how long room freed by preemption is held for its job.
 	HoldFor = 25 * time.Second
 )
