--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -246,6 +246,7 @@
 		c.committed, c.sent, c.loaded = true, true, true
 		jt.active = c
 		j.started = true
+		m.useImage(j.spec, nil)
 		m.session = max(m.session, t.Session)
 	}
 }
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -246,6 +246,9 @@
 	for _, c := range e.victims {
 		e.cost += 1 + l.loss(c)
 	}
+	if t := l.kind(m); t != nil && t.FetchGBPerS > 0 && !m.hasImage(j.spec.Image) {
+		e.cost += float64(e.count) * max(1, j.spec.GPUs) * j.spec.ImageGB / t.FetchGBPerS
+	}
 	return e
 }
 
