--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -203,7 +203,7 @@
 	// RentEvery is the pause between two reckonings of demand.
 	RentEvery = time.Second
 	// RentAfterTakeover leaves a new leader time to hear which machines it has.
-	RentAfterTakeover = 5 * time.Second
+	RentAfterTakeover = 2 * time.Second
 	// SpareMemory is how long spares are kept after the last job came: a few
 	// boot times, within which the next one would miss them.
 	SpareMemory = 100 * time.Second
