--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -180,8 +180,8 @@
 // byImage orders sites for tasks that take any room: the image first, since
 // fetching it is most of a start, then least residual room, then price.
 func byImage(a, b site) int {
-	return cmp.Or(cachedFirst(a.cached, b.cached), cmp.Compare(a.residual, b.residual),
-		cmp.Compare(a.price, b.price), cmp.Compare(a.m.id, b.m.id))
+	return cmp.Or(cachedFirst(a.cached, b.cached), cmp.Compare(a.price, b.price),
+		cmp.Compare(a.residual, b.residual), cmp.Compare(a.m.id, b.m.id))
 }
 
 // placeGang finds a place for every task of a gang, or for none.
