--- /dev/null
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -0,0 +1,103 @@
+package bookkeeping
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+// TestRecordsFit: a job's records keep within the value limit with the largest
+// description, numbers and names that they may hold.
+func TestRecordsFit(t *testing.T) {
+	for _, kb := range []float64{4, 8, 64} {
+		size := ChunkSize(kb)
+		spec := &protocol.Job{ID: "run-" + strings.Repeat("9", 30), Tasks: protocol.MaxTasks}
+		for len(Encode(spec)) < protocol.MaxSpec-1 {
+			spec.Image += "x"
+		}
+		var tasks []Task
+		for i := range size {
+			tasks = append(tasks, Task{Index: 90_000 + i, Attempt: 99_999, Machine: "i-000000000231", Session: 9_999, Done: false})
+		}
+		rec := Job{Writer: strings.Repeat("w", 40), Spec: spec, AtMs: 1 << 50, Seq: 1 << 60, Attempt: 1 << 30, Cancelled: true,
+			Done: protocol.MaxTasks, Placed: protocol.MaxTasks, Chunk: size, Tasks: tasks}
+		if n := len(Encode(rec)); n > int(kb*1024) {
+			t.Errorf("%v KiB: a record of %d bytes", kb, n)
+		}
+	}
+}
+
+func TestChunkKeys(t *testing.T) {
+	id, n, ok := SplitChunkKey(ChunkKey("run-1", 12))
+	if id != "run-1" || n != 12 || !ok {
+		t.Errorf("%s %d %v", id, n, ok)
+	}
+	for _, bad := range []string{"g/t/run-1", "g/t/run-1/x", "g/t/run-1/0", "g/j/run-1"} {
+		if _, _, ok := SplitChunkKey(bad); ok {
+			t.Errorf("%s is taken", bad)
+		}
+	}
+}
+
+func entry(key string, stamp uint64) protocol.Entry {
+	return protocol.Entry{Key: key, Value: []byte(fmt.Sprint(stamp)), Stamp: stamp}
+}
+
+// TestMirrorBetweenPages: what changes while the pages are read is neither
+// missed nor undone when the watch shows it again.
+func TestMirrorBetweenPages(t *testing.T) {
+	var m Mirror
+	m.BeginLoad()
+	if after := m.LoadPage(&protocol.Entries{Revision: 100, More: true, Items: []protocol.Entry{entry("g/a", 5), entry("g/b", 6)}}); after != "g/b" {
+		t.Fatalf("goes on after %q", after)
+	}
+	if m.Ready() {
+		t.Error("ready after half of the pages")
+	}
+	// g/c was written at 105 and again at 107, before its page was read.
+	m.LoadPage(&protocol.Entries{Revision: 110, Items: []protocol.Entry{entry("g/c", 107)}})
+	if !m.Ready() || m.Revision != 100 {
+		t.Fatalf("ready %v at %d", m.Ready(), m.Revision)
+	}
+	steps := []struct {
+		ev   protocol.WatchEvent
+		took bool
+	}{
+		{protocol.WatchEvent{Set: "g/c", Stamp: 105}, false},
+		{protocol.WatchEvent{Set: "g/c", Stamp: 107}, false},
+		{protocol.WatchEvent{Delete: "g/a", Stamp: 108}, true},
+		{protocol.WatchEvent{Delete: "g/x", Stamp: 109}, false},
+		{protocol.WatchEvent{Set: "g/a", Value: []byte("9"), Stamp: 111}, true},
+	}
+	for i, s := range steps {
+		if got := m.Apply(&s.ev); got != s.took {
+			t.Errorf("step %d: taken %v", i, got)
+		}
+	}
+	if e, _ := m.Get("g/c"); e.Stamp != 107 {
+		t.Errorf("g/c at %d", e.Stamp)
+	}
+	if e, ok := m.Get("g/a"); !ok || e.Stamp != 111 {
+		t.Errorf("g/a at %d", e.Stamp)
+	}
+}
+
+func TestStatus(t *testing.T) {
+	spec := &protocol.Job{ID: "run-1", Tasks: 3}
+	for _, c := range []struct {
+		rec  Job
+		want string
+	}{
+		{Job{}, protocol.PhasePending},
+		{Job{Done: 1}, protocol.PhasePending},
+		{Job{Placed: 1}, protocol.PhaseRunning},
+		{Job{Placed: 1, Cancelled: true}, protocol.PhaseCancelled},
+	} {
+		c.rec.Spec = spec
+		if s := c.rec.Status(); s.Phase != c.want {
+			t.Errorf("%+v is %s", c.rec, s.Phase)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,117 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/tuning"
+	"github.com/google/go-cmp/cmp"
+)
+
+const good = `
+host_name = "n0"
+domain = "east"
+listen = "127.0.0.1:8080"
+peer_bind = "127.0.0.1:8081"
+something_new = [1, 2]
+
+[[siblings]]
+host_name = "n1"
+domain = "west"
+addr = "127.0.0.2:8081"
+
+[endpoints]
+cloud = "127.0.0.3:8443"
+state = "127.0.0.4:2379"
+
+[cluster]
+nodes = 2
+zones = ["east", "west"]
+skew_ms = 5.0
+
+[[cluster.teams]]
+name = "red"
+gpus = 8.0
+gpus_max = 24.0
+
+[cluster.workers]
+report_s = 3.0
+lease_s = 31.0
+gang_wait_s = 50.0
+gang_peer_s = 8.0
+cancel_s = 51.0
+
+[cluster.state]
+rps = 250.0
+write_rps = 30.0
+value_kb = 8.0
+txn_ops = 24
+
+[cluster.cloud]
+rps = 8.0
+list_lag_s = 5.0
+
+[cluster.resources]
+cores = 0.24
+memory_mb = 234.0
+fd_limit = 2000
+`
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n0" || c.Siblings[0].Addr != "127.0.0.2:8081" || c.Cluster.Teams[0].MaxGPUs != 24 || c.Cluster.State.TxnOps != 24 {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestParseRefuses(t *testing.T) {
+	for _, c := range []struct{ from, to, says string }{
+		{`host_name = "n0"`, ``, "host_name"},
+		{`host_name = "n1"`, `host_name = "n0"`, "siblings[0]"},
+		{`listen = "127.0.0.1:8080"`, `listen = "here"`, "listen"},
+		{`"127.0.0.4:2379"`, `"127.0.0.4:99999"`, "endpoints.state"},
+		{`zones = ["east", "west"]`, `zones = []`, "cluster.zones"},
+		{`cancel_s = 51.0`, `cancel_s = 30.0`, "cancel_s"},
+		{`report_s = 3.0`, `report_s = 0.0`, "report_s"},
+		{`lease_s = 31.0`, `lease_s = nan`, "lease_s"},
+		{`gpus = 8.0`, `gpus = -1.0`, "teams[red].gpus"},
+		{`txn_ops = 24`, `txn_ops = 1`, "txn_ops"},
+		{`value_kb = 8.0`, `value_kb = "big"`, "value_kb"},
+		{`rps = 8.0`, `rps = inf`, "cloud.rps"},
+		{`skew_ms = 5.0`, `skew_ms = `, "skew_ms"},
+	} {
+		if !strings.Contains(good, c.from) {
+			t.Fatalf("%q is not in the settings", c.from)
+		}
+		_, err := Parse([]byte(strings.Replace(good, c.from, c.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%q: error %v does not name %s", c.to, err, c.says)
+		}
+	}
+}
+
+func TestProperties(t *testing.T) {
+	o, err := ParseProperties([]byte("# ours\nfleet.idle-return.seconds = 45.5\nfleet.spares-per-zone: 2\nworkers.direct-starts=false\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := tuning.Defaults()
+	want.IdleReturn, want.SparesPerZone, want.DirectStarts = 45500*time.Millisecond, 2, false
+	if d := cmp.Diff(want, o); d != "" {
+		t.Error(d)
+	}
+	for _, bad := range []string{"fleet.idle = 3", "fleet.idle-return.seconds = soon", "fleet.idle-return.seconds = -1", "fleet.spares-per-zone = 1.5", "workers.direct-starts = perhaps"} {
+		if _, err := ParseProperties([]byte(bad)); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+	for _, k := range Keys() {
+		if Doc(k) == "" {
+			t.Errorf("%s is not documented", k)
+		}
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -18,6 +18,10 @@
 // MaxBody is the largest request body that any interface accepts, in bytes.
 const MaxBody = 64 << 10
 
+// MaxSpec is the largest description of a job, in bytes as JSON: it must leave
+// room for tasks in a record of the state service.
+const MaxSpec = 2 << 10
+
 // MaxTasks is the largest number of tasks a job may have.
 const MaxTasks = 100_000
 
@@ -167,8 +171,7 @@
 	return true
 }
 
-// maxName bounds the names inside a submission, so that a job's record keeps
-// within the state service's value limit.
+// maxName bounds the length of a name in a submission or report, in bytes.
 const maxName = 200
 
 // ParseJob decodes and validates a submission. Fields that may be null may
@@ -260,6 +263,9 @@
 		// An empty list allows no machine at all: it is not the same as null.
 		j.Types = []string{""}
 	}
+	if size, err := json.Marshal(&j); len(bad) == 0 && (err != nil || len(size) > MaxSpec) {
+		return nil, fmt.Errorf("the description takes more than %d bytes", MaxSpec)
+	}
 	if len(bad) > 0 {
 		return nil, fmt.Errorf("missing or invalid: %s", strings.Join(bad, ", "))
 	}
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,263 @@
+package protocol
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const goodJob = `{"uid":"run-000412","lane":"train","crew":"vision","shape":"gang","rank":"high","pieces":16,
+"cpus":8.0,"gpus":1.0,"memory_gb":64.0,"bundle":"img-07","pull_gb":6.2,
+"builds":["g8"],"yard":null,"one_zone":true,"scatter":false,"loaners":true,
+"expect_s":240.0,"snapshot_s":30.0,"flush_s":4.0,"due_s":900.0}`
+
+func TestParseJob(t *testing.T) {
+	got, err := ParseJob([]byte(goodJob))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &Job{ID: "run-000412", Class: "train", Team: "vision", Shape: ShapeGang, Priority: "high", Tasks: 16,
+		CPUs: 8, GPUs: 1, MemoryGB: 64, Image: "img-07", ImageGB: 6.2, Types: []string{"g8"}, OneZone: true, Spot: true,
+		EstimateS: 240, CheckpointS: 30, SaveS: 4, DeadlineS: 900}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+// replace puts another value into the good job's field; "" takes it out.
+func replace(t *testing.T, field, value string) []byte {
+	var m map[string]json.RawMessage
+	if err := json.Unmarshal([]byte(goodJob), &m); err != nil {
+		t.Fatal(err)
+	}
+	if value == "" {
+		delete(m, field)
+	} else {
+		m[field] = json.RawMessage(value)
+	}
+	b, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestParseJobRefuses(t *testing.T) {
+	for _, body := range []string{"", "null", "[]", "7", `"x"`, "{", goodJob + "x", strings.Replace(goodJob, "240.0", "NaN", 1)} {
+		if _, err := ParseJob([]byte(body)); err == nil {
+			t.Errorf("%.20q is taken", body)
+		}
+	}
+	bad := map[string][]string{
+		"uid":        {"", "null", `"job-1"`, `"run-"`, `"run-1x"`, `"run-1/2"`, "5"},
+		"lane":       {"", "null", `""`, "1"},
+		"crew":       {"", "null"},
+		"shape":      {"", `"ring"`, "1"},
+		"rank":       {"", `"urgent"`},
+		"pieces":     {"", "0", "100001", "-1", "1.5", `"3"`},
+		"cpus":       {"", "-1", `"8"`, "null", "1e400"},
+		"gpus":       {"", "-0.5"},
+		"memory_gb":  {"", "-1"},
+		"bundle":     {"", `""`},
+		"pull_gb":    {"", "-1"},
+		"expect_s":   {"", "-1"},
+		"snapshot_s": {"", "-1"},
+		"flush_s":    {"", "-1"},
+		"due_s":      {"-1", `"x"`},
+		"builds":     {`"g8"`, "[1]", `[null]`, `[""]`},
+		"yard":       {"3", `""`},
+		"one_zone":   {"", "1", "null"},
+		"scatter":    {"", `"no"`},
+		"loaners":    {"", "0"},
+	}
+	for field, values := range bad {
+		for _, v := range values {
+			if _, err := ParseJob(replace(t, field, v)); err == nil {
+				t.Errorf("%s = %q is taken", field, v)
+			}
+		}
+	}
+}
+
+// TestParseJobOptional: fields that may be null may also be missing, and
+// unknown fields are ignored.
+func TestParseJobOptional(t *testing.T) {
+	for _, field := range []string{"builds", "yard", "due_s"} {
+		for _, v := range []string{"", "null"} {
+			if _, err := ParseJob(replace(t, field, v)); err != nil {
+				t.Errorf("%s = %q: %v", field, v, err)
+			}
+		}
+	}
+	if _, err := ParseJob(replace(t, "later", `{"a":[1]}`)); err != nil {
+		t.Error(err)
+	}
+	// An empty list allows no type; it is not the same as null.
+	j, err := ParseJob(replace(t, "builds", "[]"))
+	if err != nil || Allowed(j.Types, "g8") {
+		t.Errorf("an empty list allows g8 (%v)", err)
+	}
+}
+
+// TestParseJobSize: whatever is accepted fits into its record.
+func TestParseJobSize(t *testing.T) {
+	long := `"` + strings.Repeat("\\u0001", 90) + `"`
+	body := replace(t, "lane", long)
+	if _, err := ParseJob(body); err != nil {
+		t.Errorf("one long name is refused: %v", err)
+	}
+	var m map[string]json.RawMessage
+	if err := json.Unmarshal([]byte(goodJob), &m); err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range []string{"lane", "crew", "bundle", "yard"} {
+		m[f] = json.RawMessage(long)
+	}
+	m["builds"] = json.RawMessage("[" + strings.Repeat(long[:200]+`",`, 20) + `"x"]`)
+	b, _ := json.Marshal(m)
+	if j, err := ParseJob(b); err == nil {
+		t.Errorf("a description of %d bytes is taken", len(mustJSON(j)))
+	}
+}
+
+func mustJSON(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func TestParseReportTolerates(t *testing.T) {
+	r, err := ParseReport([]byte(`{"berth":"i-1","tenure":2,"tally":9,"mood":"good","recall_s":12.5,
+		"pieces":[{"piece":"run-1/0","try":1,"phase":"napping","cause":"bored","x":1}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Tasks[0].State != "napping" || *r.NoticeS != 12.5 {
+		t.Errorf("%+v", r)
+	}
+	for _, bad := range []string{"", "[]", `{"berth":"","tenure":1}`, `{"berth":"a b","tenure":1}`, `{"berth":"a"}`, `{"berth":"a","tenure":-1}`} {
+		if _, err := ParseReport([]byte(bad)); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
+
+func TestNewer(t *testing.T) {
+	r := &Report{Session: 2, Seq: 5}
+	for _, c := range []struct {
+		session, seq uint64
+		want         bool
+	}{{1, 9, true}, {2, 4, true}, {2, 5, false}, {3, 1, false}} {
+		if r.Newer(c.session, c.seq) != c.want {
+			t.Errorf("newer than %d/%d: %v", c.session, c.seq, !c.want)
+		}
+	}
+}
+
+func TestCommandShowsZeroGrace(t *testing.T) {
+	got := string(mustJSON([]Command{{Op: OpStop, Task: "run-1/0", Attempt: 2}, {Op: OpStart, Task: "run-1/1", Attempt: 1}}))
+	want := `[{"verb":"halt","piece":"run-1/0","try":2,"leeway_s":0},{"verb":"start","piece":"run-1/1","try":1}]`
+	if got != want {
+		t.Errorf("got %s", got)
+	}
+}
+
+func peerSamples() []PeerMessage {
+	n := 7.5
+	return []PeerMessage{
+		PeerHello{Node: "a"},
+		PeerStatus{Term: 9, Leader: "b", StateOK: true, Links: []string{"a", "c"}},
+		PeerReport{ID: 1, Origin: "a", Target: "b", Hops: 1, Report: &Report{Machine: "i-1", Address: "h:1", Type: "t", Zone: "z", Spot: true,
+			Session: 2, Seq: 3, Token: 4, NoticeS: &n, Tasks: []TaskReport{{Task: "run-1/0", Attempt: 1, State: TaskExited, Cause: CauseDone, Saved: true}}}},
+		PeerAnswer{ID: 1, Target: "a", Status: 200, Body: []byte(`{}`)},
+		PeerRequest{ID: 5, Origin: "a", Target: "c", Verb: "submit", Job: "run-1", Body: []byte(`{"x":1}`)},
+	}
+}
+
+func TestPeerRoundTrip(t *testing.T) {
+	var stream []byte
+	for _, m := range peerSamples() {
+		stream = AppendPeer(stream, m)
+	}
+	r := bytes.NewReader(stream)
+	for _, want := range peerSamples() {
+		got, err := ReadPeer(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(want, got); d != "" {
+			t.Error(d)
+		}
+	}
+}
+
+func TestPeerRefuses(t *testing.T) {
+	good := AppendPeer(nil, PeerHello{Node: "a"})
+	change := func(at int, b byte) []byte {
+		c := bytes.Clone(good)
+		c[at] = b
+		return c
+	}
+	for name, frame := range map[string][]byte{
+		"mark": change(0, 'X'), "version": change(2, 0), "kind": change(3, 99), "huge": change(4, 0xff),
+		"inner length": change(peerHeader, 200), "left over": append(change(7, 3), 0),
+	} {
+		if m, err := ReadPeer(bytes.NewReader(frame)); !errors.Is(err, ErrFrame) {
+			t.Errorf("%s: %v, %v", name, m, err)
+		}
+	}
+	if _, err := ReadPeer(bytes.NewReader(good[:len(good)-1])); err == nil {
+		t.Error("a truncated frame is taken")
+	}
+}
+
+func FuzzReadPeer(f *testing.F) {
+	for _, m := range peerSamples() {
+		f.Add(AppendPeer(nil, m))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := ReadPeer(bytes.NewReader(b))
+		if err != nil {
+			return
+		}
+		again, err := ReadPeer(bytes.NewReader(AppendPeer(nil, m)))
+		if err != nil {
+			t.Fatalf("%+v does not come back: %v", m, err)
+		}
+		if !bytes.Equal(AppendPeer(nil, m), AppendPeer(nil, again)) {
+			t.Errorf("%+v comes back as %+v", m, again)
+		}
+	})
+}
+
+func FuzzParseJob(f *testing.F) {
+	f.Add([]byte(goodJob))
+	f.Add([]byte(`{"uid":"run-1"}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		j, err := ParseJob(b)
+		if err != nil {
+			return
+		}
+		if j.Tasks < 1 || j.Tasks > MaxTasks || !ValidID(j.ID) || j.CPUs < 0 || len(mustJSON(j)) > MaxSpec {
+			t.Errorf("%+v is taken", j)
+		}
+	})
+}
+
+func FuzzParseReport(f *testing.F) {
+	f.Add([]byte(`{"berth":"i-1","tenure":1,"tally":2,"pieces":[{"piece":"run-1/0","try":1,"phase":"running"}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if r, err := ParseReport(b); err == nil {
+			for _, task := range r.Tasks {
+				SplitTask(task.Task)
+			}
+			AppendPeer(nil, PeerReport{Report: r})
+		}
+	})
+}
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -227,7 +228,7 @@
 		if !ok {
 			panic("simulation: bad task " + c.Task)
 		}
-		key := c.Task + "#" + string(rune('0'+c.Attempt))
+		key := attemptName(c.Task, c.Attempt)
 		t := k.tasks[key]
 		switch c.Op {
 		case protocol.OpStart:
@@ -246,6 +247,8 @@
 	}
 }
 
+func attemptName(task string, attempt uint64) string { return fmt.Sprintf("%s#%d", task, attempt) }
+
 func (k *worker) start(key, id string, index int, c protocol.Command) {
 	j := k.w.rules.jobs[id]
 	t := &workerTask{k: k, name: c.Task, index: index, attempt: c.Attempt, state: protocol.TaskFetching}
@@ -295,7 +298,7 @@
 			k.stuck = append(k.stuck, func() { k.wait(0, t, do) })
 			return
 		}
-		if k.tasks[t.name+"#"+string(rune('0'+t.attempt))] == t {
+		if k.tasks[attemptName(t.name, t.attempt)] == t {
 			do()
 		}
 	})
