Nodes know whether they are served; cuts are waited out; large jobs commit

Found by scripted scenarios: a follower told its siblings of a state service it had not asked for long, so nodes went unready in an outage that all shared; workers behind a cut between zones were deleted before they reached a node that carries their reports (tasks started again); a record that places more than 47 tasks never fitted, for every task counted as a room to guard on.

--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -158,12 +158,13 @@
 		} else {
 			value = bookkeeping.Encode(bookkeeping.Chunk{Writer: b.tx.writer, Tasks: tasks})
 		}
-		conditions := 1
+		rooms := map[*machine]bool{}
 		for _, c := range copies {
 			if !b.rooms[c.m] {
-				conditions++
+				rooms[c.m] = true
 			}
 		}
+		conditions := 1 + len(rooms)
 		if !b.fits(1, conditions, len(value)+conditions*80) {
 			break
 		}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -142,8 +142,8 @@
 	watching bool
 	watchAt  time.Time // when the watch may be opened again
 	loadAt   time.Time
-	stateOK  bool // the last finished state request was executed
-	stateAt  time.Time
+	// when the state service last served this node, and when it was last asked
+	served, asked time.Time
 
 	finals map[string]bookkeeping.Final
 	polls  []poll
@@ -253,6 +253,7 @@
 func (n *Node) tick() {
 	n.tickTimers()
 	n.tickMirror()
+	n.tickState()
 	n.tickTypes()
 	n.tickElection()
 	n.tickPeers()
@@ -269,17 +270,25 @@
 	if !n.mirror.Ready() || len(n.types) == 0 {
 		return false
 	}
-	if n.stateOK || n.now.Sub(n.stateAt) < tuning.AloneAfter {
+	if n.now.Sub(n.served) < tuning.AloneAfter {
 		return true
 	}
-	for _, p := range n.peers {
-		if p.up && p.status.StateOK {
+	for name, p := range n.peers {
+		if n.reach(name) && p.status.StateOK {
 			return false
 		}
 	}
 	return true
 }
 
+// tickState asks the state service for something small when nothing else has
+// been asked lately, so that every node knows whether it is served.
+func (n *Node) tickState() {
+	if n.mirror.Ready() && n.now.Sub(n.asked) >= tuning.StateProbe {
+		n.state("GET", protocol.KeyPath(bookkeeping.ClaimKey), nil, func(int, []byte) {})
+	}
+}
+
 func (n *Node) request(to Target, address, method, path string, body any, timeout time.Duration, done func(status int, body []byte)) {
 	n.nextID++
 	var raw []byte
@@ -296,12 +305,11 @@
 
 // state calls the state service and keeps note of whether it serves this node.
 func (n *Node) state(method, path string, body any, done func(status int, body []byte)) {
+	n.asked = n.now
 	n.request(ToState, "", method, path, body, tuning.StateTimeout, func(status int, body []byte) {
-		ok := status != 0 && status != 503
-		if ok || n.stateOK {
-			n.stateAt = n.now
+		if status != 0 && status != 503 {
+			n.served = n.now
 		}
-		n.stateOK = ok
 		done(status, body)
 	})
 }
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -92,7 +92,7 @@
 			delete(n.redirected, name)
 		}
 	}
-	status := protocol.PeerStatus{Term: n.claim.stamp, Leader: n.claim.holder, StateOK: n.stateOK, Links: n.links()}
+	status := protocol.PeerStatus{Term: n.claim.stamp, Leader: n.claim.holder, StateOK: n.now.Sub(n.served) < tuning.ServedLately, Links: n.links()}
 	for _, s := range n.cfg.Siblings {
 		p := n.peers[s.Name]
 		if p.up && n.now.Sub(p.heard) > 2*tuning.PeerSilent {
@@ -138,6 +138,17 @@
 	}
 }
 
+// torn says whether a sibling that this node reaches is out of the leader's
+// reach: the network has a cut, and workers behind it cannot reach the leader.
+func (n *Node) torn(leader string) bool {
+	for _, name := range n.links() {
+		if name != leader && !slices.Contains(n.peers[leader].status.Links, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // routeReport answers a worker's report if this node leads. Otherwise it sends
 // the worker to the leader; one that was sent and came back cannot reach the
 // leader, and its reports are carried.
@@ -152,7 +163,7 @@
 		n.reply(id, 503, protocol.ErrorBody{Error: "no leader known"})
 		return
 	}
-	direct := n.reach(leader)
+	direct := n.reach(leader) && !n.torn(leader)
 	if _, again := n.redirected[r.Machine]; direct && !again {
 		n.redirected[r.Machine] = n.now
 		n.reply(id, 421, protocol.Redirect{ReportTo: leader})
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -529,7 +529,13 @@
 		if m.lapsed && m.address == "" && !m.deleting {
 			l.delete(m, "lapsed and of no known address")
 		}
-		if m.probes >= tuning.ProbesToDelete && (!network || m.lapsed) && !m.deleting {
+		// With a sibling out of reach the worker may be behind the same cut and
+		// on its way to a controller that carries its reports.
+		patience := l.silence()
+		if len(l.n.links()) < len(l.n.cfg.Siblings) {
+			patience += tuning.CutPatience
+		}
+		if m.probes >= tuning.ProbesToDelete && now.Sub(m.lastReport) > patience && (!network || m.lapsed) && !m.deleting {
 			l.delete(m, "silent")
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -85,6 +85,9 @@
 	// ProbesToDelete is the number of unanswered probes after which a silent
 	// machine is deleted.
 	ProbesToDelete = 2
+	// CutPatience is how much longer a worker may be silent while a sibling is
+	// out of reach: it tries the leader, waits 4 s, and comes to another node.
+	CutPatience = 9 * time.Second
 	// SilentShare is the part of the fleet that may be silent at once before
 	// the network is suspected instead of the machines.
 	SilentShare = 0.34
@@ -159,7 +162,14 @@
 	WatchOverrun = 3 * time.Second
 	// AloneAfter is how long a node may miss the state service, while a sibling
 	// reaches it, before it asks to be spared users' requests.
-	AloneAfter = 2 * time.Second
+	AloneAfter = 5 * time.Second
+	// StateProbe is how long a node asks the state service for nothing before
+	// it asks just to know whether it is served.
+	StateProbe = time.Second
+	// ServedLately is how fresh the last served request must be for a node to
+	// tell its siblings that the state service serves it: less than AloneAfter,
+	// so that in an outage no node takes an old word for a sign of life.
+	ServedLately = 1500 * time.Millisecond
 	// PeerBeat is the interval of the siblings' beats.
 	PeerBeat = time.Second
 	// PeerSilent is how long a link may be silent before it counts as cut.
