--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -156,7 +156,8 @@
 
 	peers      map[string]*peer
 	beatAt     time.Time
-	carried    map[uint64]carried
+	carried    map[uint64]carried   // requests that siblings answer
+	carriedIn  map[uint64]carriedIn // requests of siblings that this node answers
 	redirected map[string]time.Time
 }
 
@@ -171,6 +172,7 @@
 		finals:     map[string]bookkeeping.Final{},
 		peers:      map[string]*peer{},
 		carried:    map[uint64]carried{},
+		carriedIn:  map[uint64]carriedIn{},
 		redirected: map[string]time.Time{},
 	}
 	for _, s := range cfg.Siblings {
@@ -234,11 +236,17 @@
 			done(e.Status, e.Body)
 		}
 	case Submit:
-		n.submit(e.ID, e.Job)
+		if !n.handOver(e.ID, protocol.PeerRequest{Verb: verbSubmit, Job: e.Job.ID, Body: bookkeeping.Encode(e.Job)}) {
+			n.submit(e.ID, e.Job)
+		}
 	case Query:
-		n.query(e.ID, e.Job)
+		if !n.handOver(e.ID, protocol.PeerRequest{Verb: verbQuery, Job: e.Job}) {
+			n.query(e.ID, e.Job)
+		}
 	case Cancel:
-		n.cancel(e.ID, e.Job)
+		if !n.handOver(e.ID, protocol.PeerRequest{Verb: verbCancel, Job: e.Job}) {
+			n.cancel(e.ID, e.Job)
+		}
 	case WorkerReport:
 		n.routeReport(e.ID, e.Report)
 	case PeerUp:
@@ -315,12 +323,23 @@
 }
 
 func (n *Node) reply(id uint64, status int, body any) {
-	n.out = append(n.out, Reply{ID: id, Status: status, Body: bookkeeping.Encode(body)})
+	n.answer(Reply{ID: id, Status: status, Body: bookkeeping.Encode(body)})
+}
+
+// answer gives a reply to whoever asked: a connection of this node, or a
+// sibling that carried the request here.
+func (n *Node) answer(r Reply) {
+	if from, ok := n.carriedIn[r.ID]; ok {
+		delete(n.carriedIn, r.ID)
+		n.sendTo(from.origin, protocol.PeerAnswer{ID: from.id, Target: from.origin, Status: uint64(r.Status), Body: r.Body})
+		return
+	}
+	n.out = append(n.out, r)
 }
 
 // refuse answers at once that the request cannot be taken now.
 func (n *Node) refuse(id uint64, why string) {
-	n.out = append(n.out, Reply{ID: id, Status: 503, Body: bookkeeping.Encode(protocol.ErrorBody{Error: why}), RetryAfter: time.Second})
+	n.answer(Reply{ID: id, Status: 503, Body: bookkeeping.Encode(protocol.ErrorBody{Error: why}), RetryAfter: time.Second})
 }
 
 // tickMirror keeps the mirror loaded and its watch open.
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -16,12 +16,68 @@
 	status protocol.PeerStatus
 }
 
-// carried is a worker's report that was sent on to the leader.
+// carried is a request that was sent on to a sibling.
 type carried struct {
 	reply  uint64
 	expire time.Time
 }
 
+// carriedIn is a request that a sibling sent on to this node.
+type carriedIn struct {
+	origin string
+	id     uint64
+}
+
+// carriedID marks the ids of carried requests, which the transport does not
+// know.
+const carriedID = 1 << 63
+
+// What a user's carried request asks for.
+const (
+	verbSubmit = "submit"
+	verbQuery  = "query"
+	verbCancel = "cancel"
+)
+
+// handOver sends a user's request on to a sibling that the state service
+// serves while it does not serve this node.
+func (n *Node) handOver(id uint64, r protocol.PeerRequest) bool {
+	if id&carriedID != 0 || n.now.Sub(n.served) < tuning.ServedLately {
+		return false
+	}
+	for _, name := range n.links() {
+		if n.peers[name].status.StateOK {
+			n.nextID++
+			r.ID, r.Origin, r.Target = n.nextID, n.cfg.Name, name
+			n.carried[r.ID] = carried{reply: id, expire: n.now.Add(tuning.UserDeadline)}
+			return n.sendTo(name, r)
+		}
+	}
+	return false
+}
+
+// takeRequest answers a user's request that a sibling sent on.
+func (n *Node) takeRequest(m protocol.PeerRequest) {
+	n.nextID++
+	id := n.nextID | carriedID
+	n.carriedIn[id] = carriedIn{m.Origin, m.ID}
+	switch m.Verb {
+	case verbSubmit:
+		j, err := protocol.ParseJob(m.Body)
+		if err != nil {
+			n.reply(id, 400, protocol.ErrorBody{Error: err.Error()})
+			return
+		}
+		n.submit(id, j)
+	case verbQuery:
+		n.query(id, m.Job)
+	case verbCancel:
+		n.cancel(id, m.Job)
+	default:
+		n.refuse(id, "unknown request")
+	}
+}
+
 func (n *Node) peerUp(name string) {
 	if p := n.peers[name]; p != nil {
 		p.up, p.heard = true, n.now
@@ -123,6 +179,8 @@
 		}
 		status, body := n.takeReport(m.Report)
 		n.sendTo(m.Origin, protocol.PeerAnswer{ID: m.ID, Target: m.Origin, Status: uint64(status), Body: bookkeeping.Encode(body)})
+	case protocol.PeerRequest:
+		n.takeRequest(m)
 	case protocol.PeerAnswer:
 		if m.Target != n.cfg.Name {
 			if m.Hops < tuning.PeerHops {
@@ -133,7 +191,11 @@
 		}
 		if c, ok := n.carried[m.ID]; ok {
 			delete(n.carried, m.ID)
-			n.out = append(n.out, Reply{ID: c.reply, Status: int(m.Status), Body: m.Body})
+			r := Reply{ID: c.reply, Status: int(m.Status), Body: m.Body}
+			if r.Status == 503 {
+				r.RetryAfter = time.Second
+			}
+			n.answer(r)
 		}
 	}
 }
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -60,7 +60,6 @@
 	ID     uint64
 	Origin string
 	Target string
-	Hops   uint64
 	Verb   string // submit, query or cancel
 	Job    string
 	Body   []byte
@@ -164,7 +163,6 @@
 		e.num(m.ID)
 		e.str(m.Origin)
 		e.str(m.Target)
-		e.num(m.Hops)
 		e.str(m.Verb)
 		e.str(m.Job)
 		e.str(string(m.Body))
@@ -252,7 +250,7 @@
 	case PeerAnswer{}.kind():
 		m = PeerAnswer{ID: d.num(), Target: d.str(), Hops: d.num(), Status: d.num(), Body: []byte(d.str())}
 	case PeerRequest{}.kind():
-		m = PeerRequest{ID: d.num(), Origin: d.str(), Target: d.str(), Hops: d.num(), Verb: d.str(), Job: d.str(), Body: []byte(d.str())}
+		m = PeerRequest{ID: d.num(), Origin: d.str(), Target: d.str(), Verb: d.str(), Job: d.str(), Body: []byte(d.str())}
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
 	}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -115,12 +115,12 @@
 	ImageGB     float64  `json:"pull_gb"`
 	Types       []string `json:"builds,omitempty"`
 	Zone        string   `json:"yard,omitempty"`
-	OneZone     bool     `json:"one_zone,omitempty"`
-	Spread      bool     `json:"scatter,omitempty"`
-	Spot        bool     `json:"loaners,omitempty"`
+	OneZone     bool     `json:"one_zone"`
+	Spread      bool     `json:"scatter"`
+	Spot        bool     `json:"loaners"`
 	EstimateS   float64  `json:"expect_s"`
-	CheckpointS float64  `json:"snapshot_s,omitempty"`
-	SaveS       float64  `json:"flush_s,omitempty"`
+	CheckpointS float64  `json:"snapshot_s"`
+	SaveS       float64  `json:"flush_s"`
 	DeadlineS   float64  `json:"due_s,omitempty"`
 }
 
@@ -261,7 +261,7 @@
 	}
 	if w.Types != nil && len(w.Types) == 0 {
 		// An empty list allows no machine at all: it is not the same as null.
-		j.Types = []string{""}
+		j.Types = []string{" "}
 	}
 	if size, err := json.Marshal(&j); len(bad) == 0 && (err != nil || len(size) > MaxSpec) {
 		return nil, fmt.Errorf("the description takes more than %d bytes", MaxSpec)
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,322 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/coordination"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// stateStub is a scripted state service: it holds keys, grants every lease and
+// shows a watch what was set since.
+type stateStub struct {
+	mu       sync.Mutex
+	revision uint64
+	keys     map[string]protocol.Entry
+	changed  chan struct{}
+}
+
+func (s *stateStub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	answer := func(status int, v any) {
+		w.WriteHeader(status)
+		json.NewEncoder(w).Encode(v)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case r.URL.Path == "/kv":
+		answer(200, protocol.Entries{Revision: s.revision})
+	case strings.HasPrefix(r.URL.Path, "/kv/"):
+		if e, ok := s.keys[strings.TrimPrefix(r.URL.Path, "/kv/")]; ok {
+			answer(200, e)
+			return
+		}
+		answer(404, protocol.TxnAnswer{Revision: s.revision})
+	case r.URL.Path == "/watch":
+		var after uint64
+		fmt.Sscan(r.URL.Query().Get("after"), &after)
+		for s.revision <= after && r.Context().Err() == nil {
+			ch := s.changed
+			s.mu.Unlock()
+			select {
+			case <-ch:
+			case <-r.Context().Done():
+			}
+			s.mu.Lock()
+		}
+		a := protocol.WatchAnswer{Revision: s.revision}
+		for _, e := range s.keys {
+			if e.Stamp > after {
+				a.Events = append(a.Events, protocol.WatchEvent{Set: e.Key, Value: e.Value, Stamp: e.Stamp})
+			}
+		}
+		answer(200, a)
+	case r.URL.Path == protocol.PathTxn:
+		var t protocol.Txn
+		json.NewDecoder(r.Body).Decode(&t)
+		for _, c := range t.If {
+			if s.keys[c.Key].Stamp != c.Stamp {
+				answer(409, protocol.TxnAnswer{Failed: []string{c.Key}, Revision: s.revision})
+				return
+			}
+		}
+		s.revision++
+		for _, c := range t.Then {
+			s.keys[c.Set] = protocol.Entry{Key: c.Set, Value: c.Value, Stamp: s.revision}
+		}
+		close(s.changed)
+		s.changed = make(chan struct{})
+		answer(200, protocol.TxnAnswer{Revision: s.revision})
+	default:
+		answer(200, protocol.LeaseAnswer{Lease: 1})
+	}
+}
+
+// cloudStub is a scripted cloud with one machine type and no machines; it
+// answers nothing until it is told to.
+type cloudStub struct {
+	mu sync.Mutex
+	up bool
+}
+
+func (c *cloudStub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.up:
+		w.WriteHeader(503)
+	case r.URL.Path == protocol.PathMachineTypes:
+		json.NewEncoder(w).Encode(protocol.MachineTypes{Types: []protocol.MachineType{{Name: "t", CPUs: 8, GPUs: 2, MemoryGB: 64, Zones: []string{"a"}, BootS: 30}}})
+	default:
+		json.NewEncoder(w).Encode(protocol.MachineList{})
+	}
+}
+
+// freeAddr is an address on loopback that nothing listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func startOwner(t *testing.T, up bool) (*config.Config, *cloudStub) {
+	t.Helper()
+	state := httptest.NewServer(&stateStub{keys: map[string]protocol.Entry{}, changed: make(chan struct{})})
+	stub := &cloudStub{up: up}
+	cloud := httptest.NewServer(stub)
+	cfg := &config.Config{Name: "n0", Listen: freeAddr(t), PeerListen: freeAddr(t), Operator: tuning.Defaults(),
+		Siblings:  []config.Sibling{{Name: "n1", Addr: freeAddr(t)}},
+		Endpoints: config.Endpoints{State: state.Listener.Addr().String(), Cloud: cloud.Listener.Addr().String()},
+		Cluster: config.Cluster{Zones: []string{"a"}, Teams: []config.Team{{Name: "vision", MaxGPUs: 4}},
+			Workers: config.Workers{ReportS: 3, LeaseS: 24, GangWaitS: 40, GangPeerS: 4, CancelS: 49},
+			State:   config.State{RPS: 80, WriteRPS: 15, ValueKB: 8, TxnOps: 12}, Cloud: config.Cloud{RPS: 6, ListLagS: 6}}}
+	log := slog.New(slog.DiscardHandler)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- NewOwner(cfg, log, coordination.New(cfg, log, 1, "boot")).Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		cloud.Close()
+		state.CloseClientConnections()
+		state.Close()
+	})
+	return cfg, stub
+}
+
+func call(t *testing.T, cfg *config.Config, method, path, body string) (int, string, http.Header) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+cfg.Listen+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), resp.Header
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 200 {
+		if holds() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("%s: never", what)
+}
+
+func ready(t *testing.T, cfg *config.Config) func() bool {
+	return func() bool {
+		status, _, _ := call(t, cfg, "GET", protocol.PathReady, "")
+		return status == 200
+	}
+}
+
+func job(id, team string, gpus float64) string {
+	return fmt.Sprintf(`{"uid":%q,"lane":"x","crew":%q,"shape":"gang","rank":"high","pieces":2,"cpus":1,"gpus":%v,"memory_gb":1,
+"bundle":"i","pull_gb":1,"one_zone":true,"scatter":false,"loaners":true,"expect_s":1,"snapshot_s":0,"flush_s":0}`, id, team, gpus)
+}
+
+func TestStatuses(t *testing.T) {
+	cfg, _ := startOwner(t, true)
+	eventually(t, "ready", ready(t, cfg))
+	// The first node to be started leads; until then nothing is lost by asking.
+	for _, c := range []struct {
+		method, path, body string
+		want               int
+	}{
+		{"POST", "/v2/runs", "{", 400},
+		{"POST", "/v2/runs", "[]", 400},
+		{"POST", "/v2/runs", strings.Repeat(" ", protocol.MaxBody+1), 413},
+		{"POST", "/v2/runs", job("run-000001", "nobody", 1), 422},
+		{"POST", "/v2/runs", job("run-000001", "vision", 3), 422}, // fits no machine
+		{"POST", "/v2/runs", job("run-000001", "vision", 1), 201},
+		{"POST", "/v2/runs", job("run-000001", "vision", 1), 200},
+		{"GET", "/v2/runs/run-000001", "", 200},
+		{"GET", "/v2/runs/run-000002", "", 404},
+		{"GET", "/v2/runs/nonsense", "", 404},
+		{"POST", "/v2/runs/run-000002/withdraw", "", 404},
+		{"POST", "/v2/runs/run-000001/withdraw", "", 200},
+		{"POST", "/v2/runs/run-000001/withdraw", "", 200},
+		{"DELETE", "/v2/runs/run-000001", "", 405},
+		{"GET", "/v2/runs", "", 405},
+		{"GET", "/nothing", "", 404},
+		{"POST", "/checkin", "{}", 400},
+		{"GET", "/metrics", "", 200},
+	} {
+		status, body, _ := call(t, cfg, c.method, c.path, c.body)
+		if status != c.want {
+			t.Errorf("%s %s %.60q: %d %s, want %d", c.method, c.path, c.body, status, body, c.want)
+		}
+	}
+	_, body, _ := call(t, cfg, "GET", "/v2/runs/run-000001", "")
+	if !strings.Contains(body, `"phase":"withdrawn"`) {
+		t.Errorf("after the cancellation: %s", body)
+	}
+}
+
+// TestTypesUnknown: until the machine types are known a submission is answered
+// at once with 503 and when to come back.
+func TestTypesUnknown(t *testing.T) {
+	cfg, cloud := startOwner(t, false)
+	var status int
+	var header http.Header
+	eventually(t, "listening", func() bool {
+		status, _, header = call(t, cfg, "POST", "/v2/runs", job("run-000001", "vision", 1))
+		return status != 0
+	})
+	if status != 503 || header.Get("Retry-After") == "" {
+		t.Errorf("%d, Retry-After %q", status, header.Get("Retry-After"))
+	}
+	if ready(t, cfg)() {
+		t.Error("ready without machine types")
+	}
+	cloud.mu.Lock()
+	cloud.up = true
+	cloud.mu.Unlock()
+	eventually(t, "ready", ready(t, cfg))
+}
+
+// TestSlowClient: a client that stalls in the middle of a request is cut off,
+// and others are answered meanwhile.
+func TestSlowClient(t *testing.T) {
+	cfg, _ := startOwner(t, true)
+	eventually(t, "ready", ready(t, cfg))
+	conn, err := net.Dial("tcp", cfg.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v2/runs HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
+	if status, _, _ := call(t, cfg, "GET", "/v2/runs/run-000007", ""); status != 404 {
+		t.Errorf("another user gets %d", status)
+	}
+	conn.SetReadDeadline(time.Now().Add(2 * tuning.ReadTimeout))
+	if _, err := io.ReadAll(conn); err != nil {
+		t.Errorf("the stalled connection stays: %v", err)
+	}
+}
+
+// TestWrongPeers: a peer that sends anything but sound frames is cut off, and
+// the node goes on.
+func TestWrongPeers(t *testing.T) {
+	cfg, _ := startOwner(t, true)
+	eventually(t, "ready", ready(t, cfg))
+	good := protocol.AppendPeer(nil, protocol.PeerHello{Node: "n1"})
+	old := bytes.Clone(good)
+	old[2] = 0
+	huge := bytes.Clone(good)
+	huge[4] = 0xff
+	for name, frames := range map[string][]byte{
+		"text":       []byte("GET / HTTP/1.1\r\n\r\n"),
+		"old":        old,
+		"oversized":  huge,
+		"stranger":   protocol.AppendPeer(nil, protocol.PeerHello{Node: "n9"}),
+		"no hello":   protocol.AppendPeer(nil, protocol.PeerStatus{Term: 1}),
+		"two hellos": append(bytes.Clone(good), good...),
+		"wrong kind": append(bytes.Clone(good), 'G', 'P', 1, 99, 0, 0, 0, 0),
+	} {
+		conn, err := net.Dial("tcp", cfg.PeerListen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Write(frames)
+		conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+		if n, err := conn.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+			t.Errorf("%s: read %d, %v: not cut off", name, n, err)
+		}
+		conn.Close()
+	}
+	if !ready(t, cfg)() {
+		t.Error("no longer ready")
+	}
+}
+
+func isTimeout(err error) bool {
+	n, ok := err.(net.Error)
+	return ok && n.Timeout()
+}
+
+// TestShed: when the owner does not keep up, users are turned away at once
+// while workers' reports still find room.
+func TestShed(t *testing.T) {
+	cfg := &config.Config{Name: "n0", Operator: tuning.Defaults()}
+	log := slog.New(slog.DiscardHandler)
+	o := NewOwner(cfg, log, coordination.New(cfg, log, 1, "boot")) // its loop never runs
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for range tuning.QueueUsers {
+		go o.ask(ctx, o.users, time.Minute, func(id uint64) coordination.Event { return coordination.Query{ID: id, Job: "run-1"} })
+	}
+	eventually(t, "the queue is full", func() bool { return len(o.users) == tuning.QueueUsers })
+	if r := o.ask(ctx, o.users, time.Minute, func(id uint64) coordination.Event { return coordination.Query{ID: id} }); r.Status != 503 || r.RetryAfter == 0 {
+		t.Errorf("one too many gets %+v", r)
+	}
+	go o.ask(ctx, o.urgent, time.Minute, func(id uint64) coordination.Event {
+		return coordination.WorkerReport{ID: id, Report: &protocol.Report{}}
+	})
+	eventually(t, "the report is queued", func() bool { return len(o.urgent) == 1 })
+}
