--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -54,13 +54,13 @@
 	return allows(j.spec, r.offer.typeName, r.offer.zone, r.offer.spot) && (r.m == nil || !l.n.now.Before(j.avoid[r.m.id]))
 }
 
+func newFleet(rps float64) fleet {
+	return fleet{calls: rate.NewLimiter(rate.Limit(rps*tuning.CloudShare), max(1, int(rps))),
+		deleted: map[string]time.Time{}, refused: map[offer]time.Time{}}
+}
+
 func (l *leader) tickFleet() {
 	f := &l.fleet
-	if f.calls == nil {
-		rps := l.n.cfg.Cluster.Cloud.RPS
-		f.calls = rate.NewLimiter(rate.Limit(rps*tuning.CloudShare), max(1, int(rps)))
-		f.deleted, f.refused = map[string]time.Time{}, map[offer]time.Time{}
-	}
 	now := l.n.now
 	for _, m := range l.fleetOrder() {
 		l.judge(m)
@@ -277,7 +277,7 @@
 		offers = append(offers, o)
 	}
 	slices.SortFunc(offers, func(a, b offer) int {
-		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.typeName, b.typeName), cachedFirst(a.spot, b.spot))
+		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.typeName, b.typeName), trueFirst(a.spot, b.spot))
 	})
 	for _, o := range offers {
 		if !f.calls.AllowN(now, 1) {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -66,6 +66,7 @@
 	stopping   bool         // the gang's attempt is being ended
 	ending     time.Time    // when the stop began
 	retryAt    time.Time
+	survivors  map[string]bool // machines of the broken attempt that are still there
 	failures   map[string]bool // machines on which a task failed
 	avoid      map[string]time.Time
 	waits      time.Time // since when something waits for its place
@@ -117,7 +118,8 @@
 }
 
 func (n *Node) takeOver() {
-	l := &leader{n: n, since: n.now, jobs: map[string]*job{}, machines: map[string]*machine{}, teams: map[string]*team{}, plan: true}
+	l := &leader{n: n, since: n.now, jobs: map[string]*job{}, machines: map[string]*machine{}, teams: map[string]*team{}, plan: true,
+		fleet: newFleet(n.cfg.Cluster.Cloud.RPS)}
 	n.lead = l
 	n.setWriteShare()
 	for _, t := range n.cfg.Cluster.Teams {
@@ -292,6 +294,7 @@
 	}
 	l.plan = true
 	if j.spec.Gang() && !c.stray && !j.complete() && !j.stopping && len(j.copies) > 0 {
+		l.pinSurvivors(j)
 		l.endGang(j, 0)
 	}
 	l.settle(j)
@@ -364,6 +367,18 @@
 	}
 }
 
+// pinSurvivors keeps the machines of a broken gang's other tasks for its next
+// attempt: the repair then only has to find room for what was lost.
+func (l *leader) pinSurvivors(j *job) {
+	j.survivors = map[string]bool{}
+	for _, c := range j.copies {
+		j.survivors[c.m.id] = true
+		if c.m.hold == nil {
+			c.m.hold, c.m.holdTill = j, l.n.now.Add(tuning.HoldFor)
+		}
+	}
+}
+
 // stop asks a copy to end. A copy whose start never left is gone at once,
 // unless the transaction that places it is still under way.
 func (l *leader) stop(c *taskCopy, grace float64) {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -128,8 +128,9 @@
 // site is a machine that could take some tasks of a job.
 type site struct {
 	m        *machine
-	count    int // tasks that fit
-	residual int // slots left over once they are placed
+	count    int  // tasks that fit
+	residual int  // slots left over once they are placed
+	survivor bool // held a task of the job's broken attempt
 	cached   bool
 	price    float64
 }
@@ -142,7 +143,7 @@
 			continue
 		}
 		if n := l.left(m).holds(j.spec, len(j.tasks)); n > 0 {
-			list = append(list, site{m: m, count: n, residual: m.slots.free, cached: m.hasImage(j.spec.Image), price: l.price(m)})
+			list = append(list, site{m: m, count: n, residual: m.slots.free, survivor: j.survivors[m.id], cached: m.hasImage(j.spec.Image), price: l.price(m)})
 		}
 	}
 	return list
@@ -160,7 +161,7 @@
 	}
 }
 
-func cachedFirst(a, b bool) int {
+func trueFirst(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
@@ -170,17 +171,17 @@
 	return 1
 }
 
-// bySite orders sites by least residual room; ties go to a machine that has
-// the image, then to the cheaper one.
+// bySite orders sites: survivors of a repair, then least residual room; ties go
+// to a machine that has the image, then to the cheaper one.
 func bySite(a, b site) int {
-	return cmp.Or(cmp.Compare(a.residual, b.residual), cachedFirst(a.cached, b.cached),
+	return cmp.Or(trueFirst(a.survivor, b.survivor), cmp.Compare(a.residual, b.residual), trueFirst(a.cached, b.cached),
 		cmp.Compare(a.price, b.price), cmp.Compare(a.m.id, b.m.id))
 }
 
 // byImage orders sites for tasks that take any room: the image first, since
 // fetching it is most of a start, then least residual room, then price.
 func byImage(a, b site) int {
-	return cmp.Or(cachedFirst(a.cached, b.cached), cmp.Compare(a.price, b.price),
+	return cmp.Or(trueFirst(a.cached, b.cached), cmp.Compare(a.price, b.price),
 		cmp.Compare(a.residual, b.residual), cmp.Compare(a.m.id, b.m.id))
 }
 
@@ -236,11 +237,12 @@
 // smaller blocks.
 func (l *leader) zonePlace(j *job, g int, only string) []site {
 	type choice struct {
-		sites    []site
-		aligned  bool
-		residual int
-		cached   int
-		price    float64
+		sites     []site
+		aligned   bool
+		residual  int
+		survivors int
+		cached    int
+		price     float64
 	}
 	var best *choice
 	for _, zone := range l.n.cfg.Cluster.Zones {
@@ -261,9 +263,12 @@
 			if s.cached {
 				c.cached += s.count
 			}
+			if s.survivor {
+				c.survivors += s.count
+			}
 			c.price += s.price
 		}
-		if best == nil || cmp.Or(cachedFirst(c.aligned, best.aligned), cmp.Compare(c.residual, best.residual),
+		if best == nil || cmp.Or(cmp.Compare(best.survivors, c.survivors), trueFirst(c.aligned, best.aligned), cmp.Compare(c.residual, best.residual),
 			cmp.Compare(best.cached, c.cached), cmp.Compare(c.price, best.price)) < 0 {
 			best = c
 		}
@@ -274,11 +279,11 @@
 	return best.sites
 }
 
-// fill takes g tasks' worth of sites: those with the image first, cheaper ones
-// first, then those that would have the least room left.
+// fill takes g tasks' worth of sites: survivors of a repair first, then those
+// with the image, the cheaper ones, those that would have the least room left.
 func fill(list []site, g int) []site {
 	slices.SortFunc(list, func(a, b site) int {
-		return cmp.Or(cachedFirst(a.cached, b.cached), cmp.Compare(a.price, b.price),
+		return cmp.Or(trueFirst(a.survivor, b.survivor), trueFirst(a.cached, b.cached), cmp.Compare(a.price, b.price),
 			cmp.Compare(a.residual, b.residual), cmp.Compare(a.m.id, b.m.id))
 	})
 	var taken []site
--- a/internal/coordination/placement_test.go
+++ b/internal/coordination/placement_test.go
@@ -351,6 +351,42 @@
 	l.checkPlacement(t, j)
 }
 
+// TestRepairPinsSurvivors: a gang that lost a machine goes back to the machines
+// of its other tasks and takes its zone's spare for the lost one, though
+// another zone could hold it whole.
+func TestRepairPinsSurvivors(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	dead, survivor := l.testMachine("i-1", "big", "b", false), l.testMachine("i-2", "big", "b", false)
+	s := gangOf(2, 4)
+	s.OneZone, s.Priority = true, "normal"
+	j := l.testJob(s)
+	l.schedule()
+	for _, c := range j.copies {
+		c.committed, c.sent, c.state = true, true, protocol.TaskRunning
+	}
+	epoch := j.attempt
+	l.testMachine("i-3", "big", "a", false)
+	l.testMachine("i-4", "big", "a", false)
+	spare := l.testMachine("i-5", "big", "b", false)
+	l.forget(dead.id)
+	l.schedule()
+	if len(j.copies) != 1 || !j.stopping {
+		t.Fatalf("%d copies, stopping %v: the survivor has yet to exit", len(j.copies), j.stopping)
+	}
+	if survivor.hold != j {
+		t.Error("the survivor's room is not held")
+	}
+	l.drop(j.list()[0])
+	l.schedule()
+	on := map[*machine]bool{}
+	for _, c := range j.copies {
+		on[c.m] = true
+	}
+	if !on[survivor] || !on[spare] || j.attempt != epoch+1 {
+		t.Errorf("repaired on %v at epoch %d", j.list(), j.attempt)
+	}
+}
+
 // TestPreemption: a higher priority takes what it needs and no more; work of
 // equal priority, and work within its team's guarantee, stays.
 func TestPreemption(t *testing.T) {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -38,7 +38,7 @@
 func (l *leader) schedule() {
 	now := l.n.now
 	for _, m := range l.machines {
-		if m.hold != nil && (now.After(m.holdTill) || m.hold.gone || m.hold.cancelled || l.wants(m.hold) == 0) {
+		if m.hold != nil && (now.After(m.holdTill) || m.hold.gone || m.hold.cancelled || !m.hold.stopping && l.wants(m.hold) == 0) {
 			m.hold = nil
 		}
 	}
