--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -51,6 +51,9 @@
 			continue
 		}
 		if j.spec.Gang() {
+			if l.warmer(j) {
+				continue
+			}
 			if l.placeGang(j) {
 				continue
 			}
@@ -146,12 +149,83 @@
 // makeRoom stops work that must yield to a waiting job, where that frees
 // enough room for it, and holds the room for it.
 func (l *leader) makeRoom(j *job, n int) {
+	if l.held(j) == nil {
+		l.yield(j, l.evictions(j, n, false))
+	}
+}
+
+// held is a machine whose room is kept for a job, nil if there is none.
+func (l *leader) held(j *job) *machine {
+	for _, m := range l.fleetOrder() {
+		if m.hold == j {
+			return m
+		}
+	}
+	return nil
+}
+
+// yield carries evictions out.
+func (l *leader) yield(j *job, list []eviction) {
+	for _, e := range list {
+		e.m.hold, e.m.holdTill = j, l.n.now.Add(tuning.HoldFor)
+		for _, c := range e.victims {
+			l.n.metrics.Preemptions++
+			l.preempt(c)
+		}
+	}
+}
+
+// warmer says whether a gang that could start on machines without its image
+// had better wait a moment for machines that have it, which work of lower
+// priority can leave sooner than the image would arrive.
+func (l *leader) warmer(j *job) bool {
 	for _, m := range l.machines {
 		if m.hold == j {
-			return // room is being made already
+			for _, c := range m.copies {
+				if c.stop {
+					return true // room is being made already
+				}
+			}
+		}
+	}
+	fetch := 0.0
+	for _, t := range l.n.types {
+		if t.Fits(j.spec) && t.FetchGBPerS > 0 {
+			fetch = max(fetch, j.spec.ImageGB/t.FetchGBPerS)
 		}
 	}
-	zones := l.n.cfg.Cluster.Zones
+	if fetch < tuning.WarmFetch || l.held(j) != nil || l.teamRoom(j) < len(j.tasks) {
+		return false
+	}
+	warm := 0
+	for _, s := range l.sites(j, "") {
+		if s.cached {
+			warm += s.count
+		}
+	}
+	if warm >= len(j.tasks) {
+		return false // the placement finds them
+	}
+	list := l.evictions(j, len(j.tasks), true)
+	cost := 0.0
+	for _, e := range list {
+		cost += e.cost
+		for _, c := range e.victims {
+			if c.j.spec.CheckpointS > 0 && c.j.spec.SaveS > fetch*tuning.WarmSave {
+				return false
+			}
+		}
+	}
+	if len(list) == 0 || cost > fetch*tuning.WarmLoss*max(1, j.spec.GPUs)*float64(len(j.tasks)) {
+		return false
+	}
+	l.yield(j, list)
+	return true
+}
+
+// evictions finds what to stop, and where, so that n tasks of a job fit; for a
+// gang all of them or nothing. warm: only on machines that have its image.
+func (l *leader) evictions(j *job, n int, warm bool) []eviction {
 	limit, only := l.zoneLimits(j)
 	var best []eviction
 	bestCost := 0.0
@@ -163,9 +237,6 @@
 		cost := 0.0
 		per := map[string]int{}
 		for _, e := range list {
-			if need <= 0 {
-				break
-			}
 			c := min(e.count, need, limit[e.m.zone]-per[e.m.zone])
 			if c <= 0 {
 				continue
@@ -185,7 +256,7 @@
 	}
 	collect := func(zone string) (list []eviction) {
 		for _, m := range l.fleetOrder() {
-			if zone != "" && m.zone != zone || only != "" && m.zone != only || !l.usable(j, m) {
+			if zone != "" && m.zone != zone || only != "" && m.zone != only || !l.usable(j, m) || warm && !m.hasImage(j.spec.Image) {
 				continue
 			}
 			if e := l.evict(j, m, n); e.count > 0 {
@@ -194,20 +265,14 @@
 		}
 		return list
 	}
-	if j.spec.OneZone {
-		for _, z := range zones {
-			consider(collect(z), n)
-		}
-	} else {
+	if !j.spec.OneZone {
 		consider(collect(""), n)
+		return best
 	}
-	for _, e := range best {
-		e.m.hold, e.m.holdTill = j, l.n.now.Add(tuning.HoldFor)
-		for _, c := range e.victims {
-			l.n.metrics.Preemptions++
-			l.preempt(c)
-		}
+	for _, z := range l.n.cfg.Cluster.Zones {
+		consider(collect(z), n)
 	}
+	return best
 }
 
 // evict works out what to stop on a machine so that up to count tasks fit:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -194,6 +194,15 @@
 	// AvoidFailed is how long a job avoids a machine on which its task failed:
 	// long enough for another job to show whether the machine is to blame.
 	AvoidFailed = 2 * time.Minute
+	// WarmFetch is the fetch time, in seconds, from which a gang would rather
+	// take machines that have its image.
+	WarmFetch = 5.0
+	// WarmSave is the share of the fetch time that saving the work in the way
+	// may take.
+	WarmSave = 0.6
+	// WarmLoss is how much more work, in GPU seconds, may be lost than the
+	// gang's GPUs would idle during the fetch.
+	WarmLoss = 2.0
 	// LateTurn is how far back an array goes in the queue once it is too late
 	// to meet its deadline.
 	LateTurn = 5 * time.Minute
