--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -23,6 +23,7 @@
 	listing  bool
 	listAt   time.Time
 	rentAt   time.Time
+	packAt   time.Time
 	deleting bool
 	deleteAt time.Time
 }
@@ -72,6 +73,10 @@
 		f.listing = true
 		l.list("")
 	}
+	if !now.Before(f.packAt) {
+		f.packAt = now.Add(tuning.PackEvery)
+		l.pack()
+	}
 	if !now.Before(f.rentAt) && now.Sub(l.since) > tuning.RentAfterTakeover && len(l.n.types) > 0 {
 		f.rentAt = now.Add(tuning.RentEvery)
 		l.rent()
@@ -91,7 +96,7 @@
 	case !m.reported && m.session == 0 && t != nil && now.Sub(m.born) > seconds(t.BootS*tuning.BootPatience)+tuning.BootSlack:
 		l.delete(m, "never came up")
 	case len(m.copies) > 0 || !m.reported || m.lapsed:
-	case m.noticed || m.distrust || m.closed:
+	case m.noticed || m.distrust || m.closed || m.emptying:
 		l.delete(m, "emptied")
 	case m.hold == nil && now.Sub(m.idleSince) > l.n.cfg.Operator.IdleReturn && !l.spareWanted(m):
 		l.delete(m, "idle")
@@ -129,6 +134,64 @@
 	return true
 }
 
+// pack empties the machine that wastes most money, if nothing waits and what it
+// carries can be saved and fits elsewhere: the paper's defragmentation, for the
+// sake of returning machines instead of making larger blocks.
+func (l *leader) pack() {
+	if l.waiting > 0 {
+		return
+	}
+	var best *machine
+	bestWaste := 0.0
+	for _, m := range l.fleetOrder() {
+		t := l.kind(m)
+		if !l.open(m) || m.hold != nil || len(m.copies) == 0 || t.GPUs == 0 || m.gpus > t.GPUs*tuning.PackBelow {
+			continue
+		}
+		if waste := l.price(m) * (t.GPUs - m.gpus); waste > bestWaste && l.movable(m) {
+			best, bestWaste = m, waste
+		}
+	}
+	if best != nil {
+		l.n.log.Info("packing", "machine", best.id, "tasks", len(best.copies))
+		best.emptying = true
+		l.drain(best)
+	}
+}
+
+// movable says whether all that a machine carries is worth moving and fits on
+// other machines that are not dearer.
+func (l *leader) movable(m *machine) bool {
+	left := map[*machine]room{}
+	others := l.fleetOrder()
+	for _, c := range sortedCopies(m) {
+		s := c.j.spec
+		rest := s.EstimateS - l.n.now.Sub(c.running).Seconds()
+		if c.stop || c.running.IsZero() || s.Gang() || s.CheckpointS == 0 || rest < tuning.PackWorth {
+			return false
+		}
+		found := false
+		for _, o := range others {
+			if o == m || !l.usable(c.j, o) || o.hold != nil || len(o.copies) == 0 || l.price(o) > l.price(m) {
+				continue
+			}
+			r, ok := left[o]
+			if !ok {
+				r = l.left(o)
+			}
+			if r.holds(s, 1) == 1 {
+				r.add(s, -1)
+				left[o], found = r, true
+				break
+			}
+		}
+		if !found {
+			return false
+		}
+	}
+	return true
+}
+
 // delete marks a machine to be returned.
 func (l *leader) delete(m *machine, why string) {
 	if m.deleting {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -54,6 +54,7 @@
 	probes   int
 	probeAt  time.Time
 
+	emptying bool // its work moves elsewhere, then it goes back
 	deleting bool
 	deleteAt time.Time
 	why      string
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -230,6 +230,13 @@
 	EstimateSlack = 1.3
 	// BootSlackShare stretches a nominal boot time.
 	BootSlackShare = 1.2
+	// PackEvery is the pause between two machines that are emptied to save money.
+	PackEvery = 5 * time.Second
+	// PackBelow is the share of its GPUs in use from which on a machine stays.
+	PackBelow = 0.5
+	// PackWorth is how much longer, in seconds, a task must be expected to run
+	// to be worth moving: saving it and fetching its image take some ten.
+	PackWorth = 40.0
 	// RentTries is how often a request is sent before it is given up; what it
 	// rented all the same shows in the machine list.
 	RentTries = 5
