--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -4,9 +4,11 @@
 // Keys:
 //
 //	g/c/leader      the leader's claim, attached to its lease
+//	g/c/types       the machine types as the leader last saw them
 //	g/j/<job>       an unfinished job: description, state and first tasks
 //	g/t/<job>/<n>   further tasks of a job that does not fit into one record
 //	g/m/<machine>   a machine's room record
+//	g/x/<from>/<to> messages between controllers that no link leads to
 //	h/<job>         a finished job, kept for good
 //
 // Everything below g/ is mirrored by every node; h/ grows for ever and is read
@@ -27,9 +29,11 @@
 const (
 	LivePrefix    = "g/"
 	ClaimKey      = "g/c/leader"
+	TypesKey      = "g/c/types"
 	JobPrefix     = "g/j/"
 	TaskPrefix    = "g/t/"
 	MachinePrefix = "g/m/"
+	MailPrefix    = "g/x/"
 	FinalPrefix   = "h/"
 )
 
@@ -59,6 +63,28 @@
 // MachineKey is the key of a machine's room record.
 func MachineKey(id string) string { return MachinePrefix + id }
 
+// MailKey is the key of the messages from one controller to another.
+func MailKey(from, to string) string { return MailPrefix + from + "/" + to }
+
+// SplitMailKey takes such a key apart.
+func SplitMailKey(key string) (from, to string, ok bool) {
+	rest, ok := strings.CutPrefix(key, MailPrefix)
+	if !ok {
+		return "", "", false
+	}
+	return strings.Cut(rest, "/")
+}
+
+// Mail holds frames of the controllers' binary format.
+type Mail struct {
+	Writer string `json:"w"`
+	Frames []byte `json:"f"`
+}
+
+// MailSize is how many bytes of frames fit into one value: JSON writes three
+// bytes as four characters.
+func MailSize(valueKB float64) int { return (int(valueKB*1024) - 256) / 4 * 3 }
+
 // Claim is the leader's claim. Its revision is the term and the token.
 type Claim struct {
 	Node string `json:"node"`
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -68,6 +68,7 @@
 	retryAt    time.Time
 	survivors  map[string]bool // machines of the broken attempt that are still there
 	failures   map[string]bool // machines on which a task failed
+	blamed     int             // how often the job, not a machine, was blamed for a failure
 	avoid      map[string]time.Time
 	waits      time.Time // since when something waits for its place
 	started    bool
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
@@ -159,6 +161,7 @@
 	carried    map[uint64]carried   // requests that siblings answer
 	carriedIn  map[uint64]carriedIn // requests of siblings that this node answers
 	redirected map[string]time.Time
+	mail       map[string]*mailbox
 }
 
 // New makes a node. The seed feeds its random pauses; boot tells this life of
@@ -174,6 +177,7 @@
 		carried:    map[uint64]carried{},
 		carriedIn:  map[uint64]carriedIn{},
 		redirected: map[string]time.Time{},
+		mail:       map[string]*mailbox{},
 	}
 	for _, s := range cfg.Siblings {
 		n.peers[s.Name] = &peer{}
@@ -265,6 +269,7 @@
 	n.tickTypes()
 	n.tickElection()
 	n.tickPeers()
+	n.tickMail()
 	if n.lead != nil {
 		n.lead.tick()
 	}
@@ -404,6 +409,11 @@
 
 // mirrorLoaded looks at the claim after a full load.
 func (n *Node) mirrorLoaded() {
+	if e, ok := n.mirror.Get(bookkeeping.TypesKey); ok && len(n.types) == 0 {
+		if list, ok := parse[protocol.MachineTypes](e.Value); ok {
+			n.takeTypes(&list)
+		}
+	}
 	e, ok := n.mirror.Get(bookkeeping.ClaimKey)
 	if !ok {
 		n.claimGone()
@@ -423,6 +433,10 @@
 		}
 		return
 	}
+	if isMail(key) {
+		n.mailed(ev)
+		return
+	}
 	if n.lead != nil {
 		n.lead.changed(ev)
 	}
@@ -446,17 +460,48 @@
 			return
 		}
 		n.typesAt = n.now.Add(every)
-		for i := range list.Types {
-			t := &list.Types[i]
-			if old := n.types[t.Name]; old != nil {
-				*old = *t // machines point to their type
-			} else {
-				n.types[t.Name] = t
-			}
-		}
+		n.takeTypes(&list)
+		n.keepTypes(&list)
 	})
 }
 
+func (n *Node) takeTypes(list *protocol.MachineTypes) {
+	for i := range list.Types {
+		t := &list.Types[i]
+		if old := n.types[t.Name]; old != nil {
+			*old = *t // machines point to their type
+		} else {
+			n.types[t.Name] = t
+		}
+	}
+}
+
+// keepTypes records the machine types, so that a node that starts while the
+// cloud does not answer can judge submissions all the same.
+func (n *Node) keepTypes(list *protocol.MachineTypes) {
+	if n.lead == nil {
+		return
+	}
+	e, _ := n.mirror.Get(bookkeeping.TypesKey)
+	if known, ok := parse[protocol.MachineTypes](e.Value); ok && slices.EqualFunc(known.Types, list.Types, sameType) {
+		return
+	}
+	value := bookkeeping.Encode(list)
+	if float64(len(value)) > n.cfg.Cluster.State.ValueKB*1024 {
+		return
+	}
+	n.state("POST", protocol.PathTxn, protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.ClaimKey, Stamp: n.claim.term}},
+		Then: []protocol.Change{{Set: bookkeeping.TypesKey, Value: value}},
+	}, func(int, []byte) {})
+}
+
+// sameType compares what does not move with the market.
+func sameType(a, b protocol.MachineType) bool {
+	a.SpotPrice = b.SpotPrice
+	return reflect.DeepEqual(a, b)
+}
+
 // timer is something to do later.
 type timer struct {
 	at time.Time
--- a/internal/coordination/placement_test.go
+++ b/internal/coordination/placement_test.go
@@ -421,6 +421,34 @@
 	}
 }
 
+// TestBlamedJobYields: a job that failed on several machines is tried on what
+// is free, but nothing is stopped or rented for it any more.
+func TestBlamedJobYields(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	l.testMachine("i-1", "big", "a", false)
+	s := protocol.Job{Team: "free", Shape: protocol.ShapeArray, Tasks: 4, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "x", Priority: "idle"}
+	low := l.testJob(s)
+	l.placeArray(low)
+	high := gangOf(1, 2)
+	high.Priority = "high"
+	j := l.testJob(high)
+	for i := range tuning.JobErrors {
+		m := l.testMachine(fmt.Sprintf("i-%d", 10+i), "small", "b", false)
+		c := l.addCopy(j, 0, uint64(i+1), m, 1)
+		l.exited(m, c, protocol.TaskReport{Cause: protocol.CauseError})
+		l.drop(c)
+		m.closed = true
+		if m.distrust {
+			t.Errorf("%s is distrusted for a job that fails everywhere", m.id)
+		}
+	}
+	l.n.now = l.n.now.Add(tuning.ErrorPause)
+	l.schedule()
+	if n := stopping(low); n != 0 || len(l.fleet.demand) != 0 {
+		t.Errorf("%d tasks yield, %d jobs want machines", n, len(l.fleet.demand))
+	}
+}
+
 func stopping(j *job) (n int) {
 	for _, c := range j.copies {
 		if c.stop {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		if j.spec.Gang() {
-			if l.warmer(j) {
+			if j.blamed == 0 && l.warmer(j) {
 				continue
 			}
 			if l.placeGang(j) {
@@ -63,6 +63,9 @@
 		if n = min(n, l.teamRoom(j)); n == 0 || j.spec.Gang() && n < len(j.tasks) {
 			continue // its team's limit is in the way, not the machines
 		}
+		if j.blamed > 0 {
+			continue // no machine is emptied or rented for it
+		}
 		waiting = append(waiting, demand{j, n})
 		l.makeRoom(j, n)
 		if j.spec.Gang() && now.Sub(j.waits) > l.n.cfg.Operator.BarAfter {
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -126,7 +126,7 @@
 func (n *Node) sendTo(target string, m protocol.PeerMessage) bool {
 	via := n.route(target)
 	if via == "" {
-		return false
+		return n.post(target, m)
 	}
 	n.out = append(n.out, PeerSend{Peer: via, Message: m})
 	return true
@@ -166,9 +166,16 @@
 		return
 	}
 	p.heard = n.now
-	switch m := m.(type) {
-	case protocol.PeerStatus:
+	if m, ok := m.(protocol.PeerStatus); ok {
 		p.status = m
+		return
+	}
+	n.deliver(m)
+}
+
+// deliver takes a message that came over a link or by mail.
+func (n *Node) deliver(m protocol.PeerMessage) {
+	switch m := m.(type) {
 	case protocol.PeerReport:
 		if m.Target != n.cfg.Name {
 			if m.Hops < tuning.PeerHops {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -246,7 +246,10 @@
 		j.avoid[m.id] = l.n.now.Add(tuning.AvoidFailed)
 		if len(j.failures) >= tuning.JobErrors {
 			// It fails everywhere: the job is to blame, not the machines.
-			j.retryAt = l.n.now.Add(tuning.ErrorPause)
+			// It goes on trying, ever more rarely, on what is free: it must not
+			// keep sound work of lower priority from its machines for ever.
+			j.retryAt = l.n.now.Add(tuning.ErrorPause << min(j.blamed, tuning.ErrorDoublings))
+			j.blamed++
 			for _, other := range l.machines {
 				delete(other.failed, j.id)
 			}
--- a/internal/simulation/scenario_test.go
+++ b/internal/simulation/scenario_test.go
@@ -198,6 +198,26 @@
 	w.check(t)
 }
 
+// TestCloudOutageAtStart: nodes that start while the cloud does not answer know
+// the machine types from the records and take submissions.
+func TestCloudOutageAtStart(t *testing.T) {
+	w := New(12, logs())
+	w.Run(5 * time.Second)
+	w.cloud.down = true
+	for _, c := range w.nodes {
+		c.crash(time.Second)
+	}
+	w.Run(3 * time.Second)
+	for _, c := range w.nodes {
+		if !c.node.Ready() {
+			t.Errorf("%s is not ready", c.name)
+		}
+	}
+	w.submit(0, array("run-000001", 2), 5, 0, false)
+	w.waitFor(t, 5*time.Second, "accepted", func() bool { return w.users[0].accepted })
+	w.check(t)
+}
+
 // TestCancelWhileCutOff: a leader cut off from everything but some workers does
 // not know of a cancellation; its grace ends before the cancellation must hold.
 func TestCancelWhileCutOff(t *testing.T) {
@@ -294,3 +314,27 @@
 	w.waitFor(t, 120*time.Second, "it is done", func() bool { return u.over })
 	w.check(t)
 }
+
+// TestZoneCutOff: a cut between two zones that leaves no path between their
+// controllers costs nothing that runs: the reports of the far zone reach the
+// leader by way of the state service, and so do its answers.
+func TestZoneCutOff(t *testing.T) {
+	for _, hold := range []bool{true, false} {
+		w := New(11, logs())
+		w.Run(5 * time.Second)
+		u := w.submit(0, array("run-000001", 12), 150, 0, false)
+		w.waitFor(t, 60*time.Second, "it runs", func() bool { return w.running(u) })
+		starts := w.rules.started
+		w.interrupt(90*time.Second, hold, func(a, b string) bool {
+			return w.zoneOf[a] != w.zoneOf[b] && w.zoneOf[a] != "" && w.zoneOf[b] != ""
+		})
+		w.Run(20 * time.Second)
+		far := w.submit(0, array("run-000002", 16), 10, 0, false)
+		w.waitFor(t, 60*time.Second, "a job that needs both zones is done", func() bool { return far.over })
+		w.waitFor(t, 200*time.Second, "the first is done", func() bool { return u.over })
+		if w.rules.started != starts+16 {
+			t.Errorf("hold %v: %d tasks were started again", hold, w.rules.started-starts-16)
+		}
+		w.check(t)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -135,6 +135,8 @@
 	JobErrors = 3
 	// ErrorPause is the pause before a job that was blamed is tried again.
 	ErrorPause = 10 * time.Second
+	// ErrorDoublings is how often the pause doubles: up to 80 s.
+	ErrorDoublings = 3
 )
 
 // Operator holds what operators may set in the properties file.
@@ -172,6 +174,10 @@
 	ServedLately = 1500 * time.Millisecond
 	// PeerBeat is the interval of the siblings' beats.
 	PeerBeat = time.Second
+	// MailEvery is the least pause between two values written for a sibling
+	// that no link leads to: few enough for the write budget, often enough for
+	// a worker that waits 4 s for its answer.
+	MailEvery = 400 * time.Millisecond
 	// PeerSilent is how long a link may be silent before it counts as cut.
 	PeerSilent = 3 * time.Second
 	// PeerHops bounds the nodes that carry one message.
