--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -123,6 +123,7 @@
 		fleet: newFleet(n.cfg.Cluster.Cloud.RPS)}
 	n.lead = l
 	n.setWriteShare()
+	n.typesAt = n.now // today's prices, and a record of the types if there is none
 	for _, t := range n.cfg.Cluster.Teams {
 		l.teams[t.Name] = &team{guaranteeCPUs: t.CPUs, guaranteeGPUs: t.GPUs, maxCPUs: t.MaxCPUs, maxGPUs: t.MaxGPUs}
 	}
