--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -130,6 +130,7 @@
 	m        *machine
 	count    int  // tasks that fit
 	residual int  // slots left over once they are placed
+	suspect  bool // a task has failed there and none has succeeded since
 	survivor bool // held a task of the job's broken attempt
 	cached   bool
 	price    float64
@@ -143,7 +144,7 @@
 			continue
 		}
 		if n := l.left(m).holds(j.spec, len(j.tasks)); n > 0 {
-			list = append(list, site{m: m, count: n, residual: m.slots.free, survivor: j.survivors[m.id], cached: m.hasImage(j.spec.Image), price: l.price(m)})
+			list = append(list, site{m: m, count: n, residual: m.slots.free, suspect: len(m.failed) > 0, survivor: j.survivors[m.id], cached: m.hasImage(j.spec.Image), price: l.price(m)})
 		}
 	}
 	return list
@@ -171,17 +172,20 @@
 	return 1
 }
 
-// bySite orders sites: survivors of a repair, then least residual room; ties go
-// to a machine that has the image, then to the cheaper one.
+// bySite orders sites: machines under no suspicion (one on which every task
+// fails at once is always free and has every image), survivors of a repair,
+// then least residual room; ties go to a machine that has the image, then to
+// the cheaper one.
 func bySite(a, b site) int {
-	return cmp.Or(trueFirst(a.survivor, b.survivor), cmp.Compare(a.residual, b.residual), trueFirst(a.cached, b.cached),
+	return cmp.Or(trueFirst(b.suspect, a.suspect), trueFirst(a.survivor, b.survivor),
+		cmp.Compare(a.residual, b.residual), trueFirst(a.cached, b.cached),
 		cmp.Compare(a.price, b.price), cmp.Compare(a.m.id, b.m.id))
 }
 
 // byImage orders sites for tasks that take any room: the image first, since
 // fetching it is most of a start, then least residual room, then price.
 func byImage(a, b site) int {
-	return cmp.Or(trueFirst(a.cached, b.cached), cmp.Compare(a.price, b.price),
+	return cmp.Or(trueFirst(b.suspect, a.suspect), trueFirst(a.cached, b.cached), cmp.Compare(a.price, b.price),
 		cmp.Compare(a.residual, b.residual), cmp.Compare(a.m.id, b.m.id))
 }
 
@@ -283,7 +287,7 @@
 // with the image, the cheaper ones, those that would have the least room left.
 func fill(list []site, g int) []site {
 	slices.SortFunc(list, func(a, b site) int {
-		return cmp.Or(trueFirst(a.survivor, b.survivor), trueFirst(a.cached, b.cached), cmp.Compare(a.price, b.price),
+		return cmp.Or(trueFirst(b.suspect, a.suspect), trueFirst(a.survivor, b.survivor), trueFirst(a.cached, b.cached), cmp.Compare(a.price, b.price),
 			cmp.Compare(a.residual, b.residual), cmp.Compare(a.m.id, b.m.id))
 	})
 	var taken []site
