--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -96,7 +96,7 @@
 	case !m.reported && m.session == 0 && t != nil && now.Sub(m.born) > seconds(t.BootS*tuning.BootPatience)+tuning.BootSlack:
 		l.delete(m, "never came up")
 	case len(m.copies) > 0 || !m.reported || m.lapsed:
-	case m.noticed || m.distrust || m.closed || m.emptying:
+	case m.closed:
 		l.delete(m, "emptied")
 	case m.hold == nil && now.Sub(m.idleSince) > l.n.cfg.Operator.IdleReturn && !l.spareWanted(m):
 		l.delete(m, "idle")
@@ -154,7 +154,6 @@
 	}
 	if best != nil {
 		l.n.log.Info("packing", "machine", best.id, "tasks", len(best.copies))
-		best.emptying = true
 		l.drain(best)
 	}
 }
@@ -197,7 +196,7 @@
 	if m.deleting {
 		return
 	}
-	m.deleting, m.why = true, why
+	m.deleting = true
 	l.n.log.Info("returning machine", "machine", m.id, "why", why)
 }
 
@@ -291,7 +290,7 @@
 	if m.address == "" {
 		m.address = e.Address
 	}
-	m.phase, m.listed = e.Phase, l.n.now
+	m.phase = e.Phase
 }
 
 // rent asks for the machines that waiting jobs lack, beyond those that are
@@ -302,7 +301,7 @@
 	var rooms []*spareRoom
 	for _, m := range l.fleetOrder() {
 		t := l.kind(m)
-		if t == nil || m.deleting || m.closed || m.noticed || m.distrust {
+		if t == nil || m.deleting || m.closed {
 			continue
 		}
 		booting := !m.reported && m.stamp == 0
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -64,14 +64,12 @@
 	gone       bool         // the final record is committed
 	guaranteed bool         // fits into its team's guarantee
 	stopping   bool         // the gang's attempt is being ended
-	ending     time.Time    // when the stop began
 	retryAt    time.Time
 	survivors  map[string]bool // machines of the broken attempt that are still there
 	failures   map[string]bool // machines on which a task failed
 	blamed     int             // how often the job, not a machine, was blamed for a failure
 	avoid      map[string]time.Time
 	waits      time.Time // since when something waits for its place
-	started    bool
 }
 
 // task is one task of a job. A task has at most one copy that it is waiting
@@ -81,9 +79,6 @@
 	done    bool
 	copies  int
 	active  *taskCopy
-	// where the record places it; kept until the record is written again
-	machine string
-	session uint64
 }
 
 type copyKey struct {
@@ -249,7 +244,6 @@
 		c := l.addCopy(j, t.Index, t.Attempt, m, t.Session)
 		c.committed, c.sent, c.loaded = true, true, true
 		jt.active = c
-		j.started = true
 		m.useImage(j.spec, nil)
 		m.session = max(m.session, t.Session)
 	}
@@ -362,7 +356,7 @@
 	if len(j.copies) == 0 {
 		return // nothing would ever end the stop
 	}
-	j.stopping, j.ending = true, l.n.now
+	j.stopping = true
 	l.n.log.Debug("gang stops", "job", j.id, "attempt", j.attempt, "grace", grace)
 	for _, c := range j.list() {
 		l.stop(c, grace)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -204,7 +204,7 @@
 // Metrics are the node's counters, read after a step.
 type Metrics struct {
 	Term, Commits, CommitConflicts, Sheds, Repairs, Preemptions, Starts uint64
-	Machines, Waiting, Running                                          int
+	Machines, Waiting                                                   int
 	CommitSeconds, WaitSeconds                                          []float64 // since the last step
 }
 
--- a/internal/coordination/placement_test.go
+++ b/internal/coordination/placement_test.go
@@ -421,6 +421,26 @@
 	}
 }
 
+// TestDistrust: a machine on which two jobs failed takes no more tasks, and its
+// room record says so to every later leader.
+func TestDistrust(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	for range tuning.MachineErrors {
+		j := l.testJob(gangOf(1, 1))
+		c := l.addCopy(j, 0, 1, m, 1)
+		l.exited(m, c, protocol.TaskReport{Cause: protocol.CauseError})
+		l.drop(c)
+	}
+	if l.open(m) || !m.queued || !m.room("w").Closed {
+		t.Errorf("open %v, record to be written %v", l.open(m), m.queued)
+	}
+	l.judge(m)
+	if !m.deleting {
+		t.Error("not returned once it is empty")
+	}
+}
+
 // TestBlamedJobYields: a job that failed on several machines is tried on what
 // is free, but nothing is stopped or rented for it any more.
 func TestBlamedJobYields(t *testing.T) {
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -178,10 +178,8 @@
 	switch m := m.(type) {
 	case protocol.PeerReport:
 		if m.Target != n.cfg.Name {
-			if m.Hops < tuning.PeerHops {
-				m.Hops++
-				n.sendTo(m.Target, m)
-			}
+			m.Hops++
+			n.passOn(m.Target, m.Hops, m)
 			return
 		}
 		status, body := n.takeReport(m.Report)
@@ -190,10 +188,8 @@
 		n.takeRequest(m)
 	case protocol.PeerAnswer:
 		if m.Target != n.cfg.Name {
-			if m.Hops < tuning.PeerHops {
-				m.Hops++
-				n.sendTo(m.Target, m)
-			}
+			m.Hops++
+			n.passOn(m.Target, m.Hops, m)
 			return
 		}
 		if c, ok := n.carried[m.ID]; ok {
@@ -207,6 +203,13 @@
 	}
 }
 
+// passOn carries a message between two siblings, unless it goes in circles.
+func (n *Node) passOn(target string, hops uint64, m protocol.PeerMessage) {
+	if hops <= tuning.PeerHops {
+		n.sendTo(target, m)
+	}
+}
+
 // torn says whether a sibling that this node reaches is out of the leader's
 // reach: the network has a cut, and workers behind it cannot reach the leader.
 func (n *Node) torn(leader string) bool {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -44,8 +44,7 @@
 	strays    []taskKey             // tasks of jobs that nobody knows
 	idleSince time.Time
 
-	noticed  bool // the cloud takes the machine away soon
-	noticeAt time.Time
+	noticed bool // the cloud takes the machine away soon
 
 	urgent   bool // has orders that should not wait for a report
 	busy     bool // a direct order is under way
@@ -54,13 +53,9 @@
 	probes   int
 	probeAt  time.Time
 
-	emptying bool // its work moves elsewhere, then it goes back
 	deleting bool
-	deleteAt time.Time
-	why      string
 
 	born     time.Time
-	listed   time.Time
 	phase    string
 	failed   map[string]bool // jobs that failed here, none succeeding between
 	distrust bool
@@ -157,7 +152,7 @@
 		l.writeRoom(m)
 	}
 	if r.NoticeS != nil && !m.noticed {
-		m.noticed, m.noticeAt = true, now
+		m.noticed = true
 		l.plan = true
 		l.drain(m)
 	}
@@ -213,7 +208,6 @@
 		if t.State == protocol.TaskRunning && c.running.IsZero() {
 			c.running = l.n.now
 			l.n.log.Debug("task runs", "job", c.j.id, "task", key.index, "attempt", key.attempt, "machine", m.id)
-			c.j.started = true
 		}
 		return
 	}
@@ -274,6 +268,10 @@
 // stops now, what cannot may finish if it can.
 func (l *leader) drain(m *machine) {
 	l.plan = true
+	if !m.closed {
+		m.closed = true
+		l.writeRoom(m) // no leader places anything there any more
+	}
 	for _, c := range sortedCopies(m) {
 		if c.stop || c.j.spec.CheckpointS == 0 && !m.distrust {
 			continue
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -101,26 +101,24 @@
 	}))
 }
 
-func (o *Owner) handleQuery(w http.ResponseWriter, r *http.Request) {
+// askJob asks the owner about the job that the path names.
+func (o *Owner) askJob(w http.ResponseWriter, r *http.Request, event func(id uint64, job string) coordination.Event) {
 	job := r.PathValue("id")
 	if !protocol.ValidID(job) {
 		refuse(w, http.StatusNotFound, "no such job")
 		return
 	}
 	respond(w, o.ask(r.Context(), o.users, tuning.AnswerLimit, func(id uint64) coordination.Event {
-		return coordination.Query{ID: id, Job: job}
+		return event(id, job)
 	}))
 }
 
+func (o *Owner) handleQuery(w http.ResponseWriter, r *http.Request) {
+	o.askJob(w, r, func(id uint64, job string) coordination.Event { return coordination.Query{ID: id, Job: job} })
+}
+
 func (o *Owner) handleCancel(w http.ResponseWriter, r *http.Request) {
-	job := r.PathValue("id")
-	if !protocol.ValidID(job) {
-		refuse(w, http.StatusNotFound, "no such job")
-		return
-	}
-	respond(w, o.ask(r.Context(), o.users, tuning.AnswerLimit, func(id uint64) coordination.Event {
-		return coordination.Cancel{ID: id, Job: job}
-	}))
+	o.askJob(w, r, func(id uint64, job string) coordination.Event { return coordination.Cancel{ID: id, Job: job} })
 }
 
 func (o *Owner) handleReport(w http.ResponseWriter, r *http.Request) {
