--- a/cmd/gappond/main.go
+++ b/cmd/gappond/main.go
@@ -56,7 +56,7 @@
 	}
 	fmt.Printf("%s: sound: node %s in %s, %d siblings, %d teams\n", c.Config, cfg.Name, cfg.Zone, len(cfg.Siblings), len(cfg.Cluster.Teams))
 	for _, key := range config.Keys() {
-		fmt.Printf("%s: %s\n", key, config.Doc(key))
+		fmt.Printf("%s = %s  # %s\n", key, cfg.Value(key), config.Doc(key))
 	}
 	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -224,22 +224,26 @@
 type property struct {
 	doc   string
 	apply func(o *tuning.Operator, value string) error
+	show  func(o *tuning.Operator) string
 }
 
-func seconds(to func(*tuning.Operator) *time.Duration) func(*tuning.Operator, string) error {
-	return func(o *tuning.Operator, value string) error {
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(v >= 0) || v > 86400 {
-			return fmt.Errorf("%q is not a number of seconds from 0 to 86400", value)
-		}
-		*to(o) = time.Duration(v * float64(time.Second))
-		return nil
-	}
+// seconds is a property that holds a span.
+func seconds(doc string, field func(*tuning.Operator) *time.Duration) property {
+	return property{doc,
+		func(o *tuning.Operator, value string) error {
+			v, err := strconv.ParseFloat(value, 64)
+			if err != nil || !(v >= 0) || v > 86400 {
+				return fmt.Errorf("%q is not a number of seconds from 0 to 86400", value)
+			}
+			*field(o) = time.Duration(v * float64(time.Second))
+			return nil
+		},
+		func(o *tuning.Operator) string { return strconv.FormatFloat(field(o).Seconds(), 'f', -1, 64) }}
 }
 
 var known = map[string]property{
-	"fleet.idle-return.seconds": {"seconds a machine may be idle before it is returned",
-		seconds(func(o *tuning.Operator) *time.Duration { return &o.IdleReturn })},
+	"fleet.idle-return.seconds": seconds("seconds a machine may be idle before it is returned",
+		func(o *tuning.Operator) *time.Duration { return &o.IdleReturn }),
 	"fleet.spares-per-zone": {"idle machines kept in every zone, 0 to 1000",
 		func(o *tuning.Operator, value string) error {
 			v, err := strconv.Atoi(value)
@@ -248,9 +252,10 @@
 			}
 			o.SparesPerZone = v
 			return nil
-		}},
-	"queue.bar-after.seconds": {"seconds a gang waits before smaller jobs no longer pass it",
-		seconds(func(o *tuning.Operator) *time.Duration { return &o.BarAfter })},
+		},
+		func(o *tuning.Operator) string { return strconv.Itoa(o.SparesPerZone) }},
+	"queue.bar-after.seconds": seconds("seconds a gang waits before smaller jobs no longer pass it",
+		func(o *tuning.Operator) *time.Duration { return &o.BarAfter }),
 	"workers.direct-starts": {"true: starts go straight to workers; false: with their next report",
 		func(o *tuning.Operator, value string) error {
 			v, err := strconv.ParseBool(value)
@@ -259,7 +264,8 @@
 			}
 			o.DirectStarts = v
 			return nil
-		}},
+		},
+		func(o *tuning.Operator) string { return strconv.FormatBool(o.DirectStarts) }},
 }
 
 // ParseProperties decodes and checks the operators' properties. A key that is
@@ -295,5 +301,8 @@
 	return keys
 }
 
+// Value is what an operators' key is set to.
+func (c *Config) Value(key string) string { return known[key].show(&c.Operator) }
+
 // Doc explains an operators' key.
 func Doc(key string) string { return known[key].doc }
