Users' requests leave the state service's budgets to reports and decisions

Cause: a flood of polls would have passed the request budget and, through 429, starved the leader's own transactions and renewals. Now users' reads and writes look whether the budget leaves a quarter for the node's needs; a test sends 600 polls a second.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -133,7 +133,8 @@
 	out     []Action
 	nextID  uint64
 	pending map[uint64]func(status int, body []byte)
-	writes  *rate.Limiter
+	writes  *rate.Limiter // puts and deletes
+	calls   *rate.Limiter // requests to the state service
 	metrics Metrics
 
 	types   map[string]*protocol.MachineType
@@ -182,23 +183,42 @@
 	for _, s := range cfg.Siblings {
 		n.peers[s.Name] = &peer{}
 	}
-	n.setWriteShare()
+	n.setShares()
 	return n
 }
 
-// setWriteShare divides the state service's write budget: most of it for the
-// leader, the rest for submissions and cancellations at the others.
-func (n *Node) setWriteShare() {
-	total := n.cfg.Cluster.State.WriteRPS
+// setShares divides the state service's budgets: most of the writes for the
+// leader, the rest for submissions at the others; requests in equal parts.
+func (n *Node) setShares() {
+	nodes := float64(len(n.cfg.Siblings) + 1)
 	share := 1.0
-	if others := len(n.cfg.Siblings); others > 0 {
-		share = (1 - tuning.LeaderShare) / float64(others)
+	if nodes > 1 {
+		share = (1 - tuning.LeaderShare) / (nodes - 1)
 		if n.lead != nil {
 			share = tuning.LeaderShare
 		}
 	}
-	limit := total * share
+	limit := n.cfg.Cluster.State.WriteRPS * share
 	n.writes = rate.NewLimiter(rate.Limit(limit), max(n.cfg.Cluster.State.TxnOps, int(limit)))
+	if n.calls == nil {
+		limit = n.cfg.Cluster.State.RPS * tuning.CallShare / nodes
+		n.calls = rate.NewLimiter(rate.Limit(limit), max(1, int(limit)))
+	}
+}
+
+// mayRead says whether the budget leaves room for a user's request: what the
+// node itself needs, renewals and decisions above all, comes first.
+func (n *Node) mayRead() bool {
+	return n.calls.TokensAt(n.now) >= 1+float64(n.calls.Burst())*tuning.UserReserve
+}
+
+// mayWrite says the same of a user's write; decisions that wait come first.
+func (n *Node) mayWrite() bool {
+	need := 1.0
+	if l := n.lead; l != nil && (l.inFlight != nil || len(l.dirty) > 0) {
+		need += float64(n.writes.Burst()) * tuning.UserReserve
+	}
+	return n.mayRead() && n.writes.TokensAt(n.now) >= need
 }
 
 // Metrics are the node's counters, read after a step.
@@ -319,6 +339,7 @@
 // state calls the state service and keeps note of whether it serves this node.
 func (n *Node) state(method, path string, body any, done func(status int, body []byte)) {
 	n.asked = n.now
+	n.calls.AllowN(n.now, 1) // counted in any case; users' requests look first
 	n.request(ToState, "", method, path, body, tuning.StateTimeout, func(status int, body []byte) {
 		if status != 0 && status != 503 {
 			n.served = n.now
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -72,11 +72,11 @@
 		})
 		return
 	}
-	if !n.writes.AllowN(n.now, 1) {
-		n.metrics.Sheds++
-		n.refuse(id, "busy")
+	if !n.mayWrite() {
+		n.shed(id)
 		return
 	}
+	n.writes.AllowN(n.now, 1)
 	rec := bookkeeping.Job{Writer: n.unique(), Spec: j, AtMs: n.now.UnixMilli(), Chunk: bookkeeping.ChunkSize(n.cfg.Cluster.State.ValueKB)}
 	txn := bookkeeping.Encode(protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}, {Key: bookkeeping.FinalKey(j.ID)}},
@@ -121,9 +121,32 @@
 		n.addPoll(poll{id: id, job: job, stamp: e.Stamp})
 		return
 	}
+	if !n.mayRead() {
+		n.shed(id)
+		return
+	}
 	n.answerQuery(id, job, n.now.Add(tuning.UserDeadline))
 }
 
+// shed turns a user's request away because too much is asked.
+func (n *Node) shed(id uint64) {
+	n.metrics.Sheds++
+	n.refuse(id, "busy")
+}
+
+// dropLatePolls turns away the polls that have waited too long for the budget.
+func (n *Node) dropLatePolls() {
+	kept := n.polls[:0]
+	for _, p := range n.polls {
+		if n.now.Before(p.expire) {
+			kept = append(kept, p)
+		} else {
+			n.shed(p.id)
+		}
+	}
+	n.polls = kept
+}
+
 func (n *Node) answerQuery(id uint64, job string, deadline time.Time) {
 	n.lookUp(id, job, deadline, func(s *protocol.Status) {
 		if s == nil {
@@ -197,6 +220,10 @@
 }
 
 func (n *Node) addPoll(p poll) {
+	if len(n.polls) >= tuning.QueueUsers {
+		n.shed(p.id)
+		return
+	}
 	if len(n.polls) == 0 {
 		n.pollAt = n.now.Add(tuning.PollBatch)
 	}
@@ -214,6 +241,10 @@
 	if n.now.Before(n.pollAt) && len(n.polls) < limit {
 		return
 	}
+	if !n.mayRead() {
+		n.dropLatePolls()
+		return
+	}
 	batch := n.polls
 	if len(batch) > limit {
 		batch = batch[:limit]
@@ -289,6 +320,11 @@
 		n.refuse(id, "starting")
 		return
 	}
+	if !n.mayWrite() {
+		n.shed(id)
+		return
+	}
+	n.writes.AllowN(n.now, 1)
 	deadline := n.now.Add(tuning.UserDeadline)
 	if e, ok := n.mirror.Get(bookkeeping.JobKey(job)); ok {
 		n.cancelRecord(id, job, &e, deadline)
--- a/internal/simulation/scenario_test.go
+++ b/internal/simulation/scenario_test.go
@@ -218,6 +218,38 @@
 	w.check(t)
 }
 
+// TestManyPolls: far more polls than the state service's budget allows neither
+// exceed it nor keep the leader from its claim; every user gets an answer.
+func TestManyPolls(t *testing.T) {
+	w := New(13, logs())
+	w.Run(5 * time.Second)
+	u := w.submit(0, array("run-000001", 2), 60, 0, false)
+	w.waitFor(t, 10*time.Second, "it runs", func() bool { return w.running(u) })
+	c, before := w.leader(), w.state.requests
+	answers, asked := 0, 0
+	for range 400 { // 20 s of 600 polls a second, half for jobs that nobody knows
+		for i, n := range w.nodes {
+			for k := range 10 {
+				asked++
+				job := fmt.Sprintf("run-%06d", 1+(i+k)%2)
+				n.ask(func(id uint64) coordination.Event { return coordination.Query{ID: id, Job: job} }, func(int, []byte) { answers++ })
+			}
+		}
+		w.Run(50 * time.Millisecond)
+	}
+	w.Run(5 * time.Second)
+	if answers != asked {
+		t.Errorf("%d answers to %d polls", answers, asked)
+	}
+	if rate := float64(w.state.requests-before) / 25; rate > 80 {
+		t.Errorf("%.0f requests a second", rate)
+	}
+	if w.leader() != c {
+		t.Error("the leader lost its claim")
+	}
+	w.check(t)
+}
+
 // TestCancelWhileCutOff: a leader cut off from everything but some workers does
 // not know of a cancellation; its grace ends before the cancellation must hold.
 func TestCancelWhileCutOff(t *testing.T) {
--- a/internal/simulation/services.go
+++ b/internal/simulation/services.go
@@ -40,6 +40,7 @@
 	nextID   uint64
 	watches  []*watch
 	down     bool
+	requests int
 }
 
 type change struct {
@@ -118,6 +119,7 @@
 }
 
 func (s *stateService) serve(method, path string, body []byte, from *controller, answer func(int, []byte)) {
+	s.requests++
 	u, _ := url.Parse(path)
 	q := u.Query()
 	if u.Path == "/watch" {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -64,6 +64,12 @@
 	// LeaderShare is the part of the state service's write budget that the
 	// leader uses; the siblings share the rest for submissions.
 	LeaderShare = 0.6
+	// CallShare is the part of the state service's request budget that the nodes
+	// use together; the rest absorbs watches and uneven clocks.
+	CallShare = 0.8
+	// UserReserve is the part of a budget that users' requests leave to the
+	// node's own needs.
+	UserReserve = 0.25
 	// TxnBytes is the largest body of a transaction, below the 64 KiB limit.
 	TxnBytes = 60 << 10
 	// TaskBytes is a generous size of one task's entry in a record, by which
