--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -114,7 +114,8 @@
 	if len(b.txn.Then) == 0 {
 		return
 	}
-	l.n.writes.AllowN(l.n.now, min(len(b.txn.Then), l.n.writes.Burst()))
+	// A batch may run into debt, which the next one waits out.
+	l.n.writes.ReserveN(l.n.now, min(len(b.txn.Then), l.n.writes.Burst()))
 	tx.body = bookkeeping.Encode(b.txn)
 	l.inFlight = tx
 	l.send(tx)
