--- /dev/null
+++ b/internal/coordination/fences_test.go
@@ -0,0 +1,193 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+// These tests hold one guard each that whole days break too rarely to show.
+
+func (l *leader) testReport(m *machine, token uint64, tasks ...protocol.TaskReport) []protocol.Command {
+	cmds, _ := l.report(&protocol.Report{Machine: m.id, Address: "h:1", Type: m.typeName, Zone: m.zone, Spot: m.spot,
+		Session: 1, Seq: m.seq + 1, Token: token, Tasks: tasks}, true)
+	return cmds
+}
+
+func ops(cmds []protocol.Command) (s string) {
+	for _, c := range cmds {
+		s += c.Op + " "
+	}
+	return s
+}
+
+// lastRequest is the newest request to a system.
+func (n *Node) lastRequest(t *testing.T, to Target) Request {
+	t.Helper()
+	for i := len(n.out) - 1; i >= 0; i-- {
+		if r, ok := n.out[i].(Request); ok && r.To == to {
+			return r
+		}
+	}
+	t.Fatal("no request")
+	return Request{}
+}
+
+// recorded is a job whose task a predecessor's record places on a machine.
+func (l *leader) recorded(m *machine) (*job, *taskCopy) {
+	s := gangOf(1, 1)
+	s.ID, s.Priority = "run-000077", "normal"
+	j := l.addJob(&bookkeeping.Job{Spec: &s, AtMs: l.n.now.UnixMilli(), Seq: 5, Attempt: 3, Chunk: 60,
+		Tasks: []bookkeeping.Task{{Index: 0, Attempt: 3, Machine: m.id, Session: 1}}}, 9)
+	return j, j.list()[0]
+}
+
+// TestAbsenceNeedsToken: until the worker has shown this leader's token its
+// report may be older than a predecessor's start.
+func TestAbsenceNeedsToken(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	j, _ := l.recorded(m)
+	l.testReport(m, l.n.claim.term-1)
+	if len(j.copies) != 1 {
+		t.Fatal("gone by a report that has not seen the token")
+	}
+	l.testReport(m, l.n.claim.term)
+	if len(j.copies) != 0 {
+		t.Error("still there after a report that has")
+	}
+}
+
+// TestRecordsStartNothing: what a predecessor placed may have ended and its
+// room and quota been given to others, so it is never started again as it is.
+func TestRecordsStartNothing(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	l.recorded(m)
+	if got := ops(l.testReport(m, l.n.claim.term-1)); got != "" {
+		t.Errorf("orders %s", got)
+	}
+	if got := ops(l.testReport(m, l.n.claim.term)); got != "" {
+		t.Errorf("orders %s", got)
+	}
+}
+
+// TestUnansweredStartPins: a direct start that was not answered may arrive at
+// any later time. Its attempt is kept, made to exist, and never forgotten.
+func TestUnansweredStartPins(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	j := l.testJob(gangOf(1, 1))
+	l.placeGang(j)
+	clear(j.dirty)
+	c := j.list()[0]
+	c.committed = true
+	l.direct(m, l.orders(m, false))
+	r := l.n.lastRequest(t, ToWorker)
+	l.n.handle(Response{ID: r.ID})
+	l.testReport(m, l.n.claim.term)
+	l.testReport(m, l.n.claim.term)
+	if len(j.copies) != 1 {
+		t.Fatal("gone while its start may be on its way")
+	}
+	l.stop(c, 0)
+	if got := ops(l.testReport(m, l.n.claim.term)); got != "start halt " {
+		t.Errorf("orders %q", got)
+	}
+	exited := protocol.TaskReport{Task: j.id + "/0", Attempt: 1, State: protocol.TaskExited, Cause: protocol.CauseStopped}
+	if got := ops(l.testReport(m, l.n.claim.term, exited)); got != "" {
+		t.Errorf("orders %q: the attempt must not be forgotten", got)
+	}
+	if len(j.copies) != 0 {
+		t.Error("still there after its exit")
+	}
+}
+
+// TestLapseCountsGrace: a predecessor may have answered a worker until the end
+// of its grace, so its lease lapses that much later.
+func TestLapseCountsGrace(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	l := testLeader(start)
+	m := l.machine("i-1", "h:1", "big", "a", false)
+	j, _ := l.recorded(m)
+	lease := seconds(l.n.cfg.Cluster.Workers.LeaseS)
+	at := func(d time.Duration) {
+		l.n.now = start.Add(d)
+		l.n.claim.renewed = l.n.now
+		l.tickMachines()
+	}
+	at(lease + l.n.grace() - time.Second)
+	if len(j.copies) != 1 {
+		t.Fatal("presumed gone within the predecessor's grace")
+	}
+	at(lease + l.n.grace() + 3*time.Second)
+	if len(j.copies) != 0 {
+		t.Error("not gone after grace and lease")
+	}
+}
+
+// TestCommitFirst: a placement is guarded on the claim, the job and the room it
+// takes, and no start leaves before it is committed.
+func TestCommitFirst(t *testing.T) {
+	t.Run(protocol.ShapeGang, func(t *testing.T) { commitFirst(t, protocol.ShapeGang, (*leader).placeGang) })
+	t.Run(protocol.ShapeArray, func(t *testing.T) {
+		commitFirst(t, protocol.ShapeArray, func(l *leader, j *job) bool { return l.placeArray(j) == 0 })
+	})
+}
+
+func commitFirst(t *testing.T, shape string, place func(*leader, *job) bool) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	s := gangOf(2, 1)
+	s.Shape = shape
+	j := l.testJob(s)
+	stamp := j.stamps[0]
+	if !place(l, j) {
+		t.Fatal("not placed")
+	}
+	if got := ops(l.testReport(m, l.n.claim.term)); got != "" {
+		t.Fatalf("orders %q before the commit", got)
+	}
+	l.commitNext()
+	r := l.n.lastRequest(t, ToState)
+	txn, _ := parse[protocol.Txn](r.Body)
+	guards := map[string]uint64{}
+	for _, c := range txn.If {
+		guards[c.Key] = c.Stamp
+	}
+	for key, want := range map[string]uint64{bookkeeping.ClaimKey: l.n.claim.term, bookkeeping.JobKey(j.id): stamp, bookkeeping.MachineKey(m.id): m.stamp} {
+		if got, ok := guards[key]; !ok || got != want {
+			t.Errorf("%s is guarded on %d (%v), want %d", key, got, ok, want)
+		}
+	}
+	if got := ops(l.testReport(m, l.n.claim.term)); got != "" {
+		t.Fatalf("orders %q during the commit", got)
+	}
+	l.n.handle(Response{ID: r.ID, Status: 200, Body: []byte(`{"ledger":99}`)})
+	if got := ops(l.testReport(m, l.n.claim.term)); got != "start start " {
+		t.Errorf("orders %q after it", got)
+	}
+}
+
+// TestLoserPlansAgain: a refused transaction leaves nothing of its plan behind,
+// and a cancellation that came first is kept.
+func TestLoserPlansAgain(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	l.testMachine("i-1", "big", "a", false)
+	j := l.testJob(gangOf(2, 1))
+	l.placeGang(j)
+	l.commitNext()
+	r := l.n.lastRequest(t, ToState)
+	l.n.handle(Response{ID: r.ID, Status: 409, Body: bookkeeping.Encode(protocol.TxnAnswer{Failed: []string{bookkeeping.JobKey(j.id)}})})
+	if len(j.copies) != 0 || l.machines["i-1"].gpus != 0 {
+		t.Fatalf("%d copies of the plan are left", len(j.copies))
+	}
+	read := l.n.lastRequest(t, ToState)
+	rec := bookkeeping.Job{Writer: "another", Spec: j.spec, Chunk: 60, Seq: j.seq, Cancelled: true}
+	l.n.handle(Response{ID: read.ID, Status: 200, Body: bookkeeping.Encode(protocol.Entry{Key: bookkeeping.JobKey(j.id), Value: bookkeeping.Encode(rec), Stamp: 50})})
+	if !j.cancelled || j.stamps[0] != 50 || j.finalPhase() != protocol.PhaseCancelled {
+		t.Errorf("cancelled %v at revision %d", j.cancelled, j.stamps[0])
+	}
+}
