--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -56,9 +56,11 @@
 		r.broken("wrong_place", "%s on %s", t.name, t.k.h.ID)
 	}
 	zones := map[string]int{}
-	for i := range s.Tasks {
-		if o := r.onAt[protocol.TaskName(s.ID, i)]; o != nil {
-			zones[o.k.h.Zone]++
+	if s.OneZone || s.Spread {
+		for i := range s.Tasks {
+			if o := r.onAt[protocol.TaskName(s.ID, i)]; o != nil {
+				zones[o.k.h.Zone]++
+			}
 		}
 	}
 	if s.OneZone && len(zones) > 1 {
--- a/internal/simulation/scenario_test.go
+++ b/internal/simulation/scenario_test.go
@@ -322,6 +322,28 @@
 	w.check(t)
 }
 
+// TestLargestJob: a job of the largest size is taken, keeps every limit of the
+// state service, survives a change of leader and is cancelled in time.
+func TestLargestJob(t *testing.T) {
+	w := New(14, logs())
+	w.Run(5 * time.Second)
+	s := array("run-000001", 100_000)
+	s.CPUs, s.GPUs, s.MemoryGB = 0.2, 0, 0.5
+	u := w.submit(0, s, 10, 30*time.Second, false)
+	w.Run(15 * time.Second)
+	if w.rules.started == 0 {
+		t.Error("nothing starts")
+	}
+	w.leader().crash(2 * time.Second)
+	w.Run(15 * time.Second)
+	w.waitFor(t, 30*time.Second, "it is cancelled", func() bool { return u.over })
+	w.Run(60 * time.Second)
+	if _, ok := w.state.keys["g/j/run-000001"]; ok {
+		t.Error("its record is still among the unfinished")
+	}
+	w.check(t)
+}
+
 // TestSpareRepair: a gang that loses a machine runs again at once on a machine
 // that is there, keeping its checkpoint.
 func TestSpareRepair(t *testing.T) {
