Machines kept in order, looked over 5 times a second; searches not repeated at once

Holds are kept at the job, spares counted once a round, arrays filled from a sorted list; the pause between plans follows the machines looked at.

--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -326,7 +326,7 @@
 				continue
 			}
 			c.committed = true
-			c.m.urgent = true
+			l.hurry(c.m)
 		}
 		for _, c := range w.copies {
 			if c.stop && !c.sent {
@@ -334,7 +334,7 @@
 			}
 		}
 		for _, c := range j.copies {
-			c.m.urgent = true // a gang's starts wait for all of its records
+			l.hurry(c.m) // a gang's starts wait for all of its records
 		}
 		l.settle(j)
 	}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -17,6 +17,7 @@
 type fleet struct {
 	calls    *rate.Limiter
 	demand   []demand
+	load     map[string]int       // machines in every zone, at the last reckoning
 	deleted  map[string]time.Time // names that are gone for certain
 	rentals  []*rental
 	refused  map[offer]time.Time
@@ -63,8 +64,9 @@
 func (l *leader) tickFleet() {
 	f := &l.fleet
 	now := l.n.now
-	for _, m := range l.fleetOrder() {
-		l.judge(m)
+	spares := l.spares()
+	for _, m := range l.roster {
+		l.judge(m, spares)
 	}
 	if !f.deleting && !now.Before(f.deleteAt) {
 		l.sendDeletes()
@@ -84,7 +86,7 @@
 }
 
 // judge decides whether a machine is to go.
-func (l *leader) judge(m *machine) {
+func (l *leader) judge(m *machine, spares map[string]int) {
 	if m.deleting {
 		return
 	}
@@ -98,30 +100,44 @@
 	case len(m.copies) > 0 || !m.reported || m.lapsed:
 	case m.closed:
 		l.delete(m, "emptied")
-	case m.hold == nil && now.Sub(m.idleSince) > l.n.cfg.Operator.IdleReturn && !l.spareWanted(m):
+	case m.hold == nil && now.Sub(m.idleSince) > l.n.cfg.Operator.IdleReturn && !l.spareWanted(m, spares):
 		l.delete(m, "idle")
 	}
 }
 
-// spareWanted says whether an idle machine is one of its zone's spares. Spares
+// spares counts the machines of every zone that could serve as spares. Spares
 // are kept while jobs come; a machine that only carries work of the lowest
-// priority is a spare too, for it yields at once.
-func (l *leader) spareWanted(m *machine) bool {
-	now := l.n.now
-	if now.Sub(l.lastJob) > tuning.SpareMemory {
-		return false
+// priority is a spare too, for it yields at once. Jobs that may not use spot
+// machines need spares that are none.
+func (l *leader) spares() map[string]int {
+	count := map[string]int{}
+	if l.n.now.Sub(l.lastJob) > tuning.SpareMemory {
+		return count
 	}
-	ordinary := now.Sub(l.lastOrdinary) <= tuning.SpareMemory
-	if ordinary && m.spot {
-		return false // jobs that may not use spot machines need the spare too
-	}
-	others := 0
-	for _, o := range l.machines {
-		if o != m && o.zone == m.zone && l.open(o) && !(ordinary && o.spot) && o.yields() {
-			others++
+	for _, m := range l.roster {
+		if l.mayBeSpare(m) {
+			count[m.zone]++
 		}
 	}
-	return others < l.n.cfg.Operator.SparesPerZone
+	return count
+}
+
+func (l *leader) mayBeSpare(m *machine) bool {
+	ordinary := l.n.now.Sub(l.lastOrdinary) <= tuning.SpareMemory
+	return l.open(m) && !(ordinary && m.spot) && m.yields()
+}
+
+// spareWanted says whether an idle machine is one of its zone's spares. One
+// that is not no longer counts as such.
+func (l *leader) spareWanted(m *machine, spares map[string]int) bool {
+	if spares[m.zone] == 0 || !l.mayBeSpare(m) {
+		return false
+	}
+	if spares[m.zone] <= l.n.cfg.Operator.SparesPerZone {
+		return true
+	}
+	spares[m.zone]--
+	return false
 }
 
 // yields says whether all that a machine carries is of the lowest priority.
@@ -141,20 +157,25 @@
 	if l.waiting > 0 {
 		return
 	}
-	var best *machine
-	bestWaste := 0.0
-	for _, m := range l.fleetOrder() {
+	type choice struct {
+		m     *machine
+		waste float64
+	}
+	var list []choice
+	for _, m := range l.roster {
 		t := l.kind(m)
 		if !l.open(m) || m.hold != nil || len(m.copies) == 0 || t.GPUs == 0 || m.gpus > t.GPUs*tuning.PackBelow {
 			continue
 		}
-		if waste := l.price(m) * (t.GPUs - m.gpus); waste > bestWaste && l.movable(m) {
-			best, bestWaste = m, waste
-		}
+		list = append(list, choice{m, l.price(m) * (t.GPUs - m.gpus)})
 	}
-	if best != nil {
-		l.n.log.Info("packing", "machine", best.id, "tasks", len(best.copies))
-		l.drain(best)
+	slices.SortStableFunc(list, func(a, b choice) int { return cmp.Compare(b.waste, a.waste) })
+	for _, c := range list[:min(len(list), tuning.PackTries)] {
+		if c.waste > 0 && l.movable(c.m) {
+			l.n.log.Info("packing", "machine", c.m.id, "tasks", len(c.m.copies))
+			l.drain(c.m)
+			return
+		}
 	}
 }
 
@@ -162,7 +183,7 @@
 // other machines that are not dearer.
 func (l *leader) movable(m *machine) bool {
 	left := map[*machine]room{}
-	others := l.fleetOrder()
+	others := l.roster
 	for _, c := range sortedCopies(m) {
 		s := c.j.spec
 		rest := s.EstimateS - l.n.now.Sub(c.running).Seconds()
@@ -203,7 +224,7 @@
 func (l *leader) sendDeletes() {
 	f := &l.fleet
 	var names []string
-	for _, m := range l.fleetOrder() {
+	for _, m := range l.roster {
 		if m.deleting && len(names) < tuning.DeleteCount {
 			names = append(names, m.id)
 		}
@@ -237,7 +258,9 @@
 	for _, c := range sortedCopies(m) {
 		l.drop(c)
 	}
+	m.release()
 	delete(l.machines, id)
+	l.roster = slices.DeleteFunc(slices.Clone(l.roster), func(o *machine) bool { return o == m })
 	if m.stamp != 0 || m.writing {
 		l.cleanup = append(l.cleanup, bookkeeping.MachineKey(id))
 	}
@@ -298,8 +321,10 @@
 func (l *leader) rent() {
 	f := &l.fleet
 	now := l.n.now
+	f.load = map[string]int{}
 	var rooms []*spareRoom
-	for _, m := range l.fleetOrder() {
+	for _, m := range l.roster {
+		f.load[m.zone]++
 		t := l.kind(m)
 		if t == nil || m.deleting || m.closed {
 			continue
@@ -411,10 +436,7 @@
 			}
 		}
 	}
-	load := map[string]int{}
-	for _, m := range l.machines {
-		load[m.zone]++
-	}
+	load := l.fleet.load
 	slices.SortFunc(list, func(a, b priced) int {
 		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(load[a.zone], load[b.zone]), cmp.Compare(a.zone, b.zone), cmp.Compare(a.typeName, b.typeName))
 	})
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -20,6 +20,7 @@
 
 	jobs     map[string]*job
 	machines map[string]*machine
+	roster   []*machine // the machines by name, the order of their creation; never changed in place
 	teams    map[string]*team
 	waiting  int
 
@@ -28,8 +29,12 @@
 	cleanup  []string   // keys to delete when there is time
 	inFlight *commit
 	commitAt time.Time
-	plan     bool // something changed that placement may depend on
+	hurried  []*machine // have orders that should not wait for a report
+	plan     bool       // something changed that placement may depend on
 	planAt   time.Time
+	vacant   []*machine // during a pass over the queue: open machines with room
+	looks    int        // machines looked at in this pass
+	watchAt  time.Time  // when the machines are looked over again
 	fleet    fleet
 	// when a job last came, and one that may not use spot machines
 	lastJob, lastOrdinary time.Time
@@ -69,7 +74,10 @@
 	failures   map[string]bool // machines on which a task failed
 	blamed     int             // how often the job, not a machine, was blamed for a failure
 	avoid      map[string]time.Time
-	waits      time.Time // since when something waits for its place
+	waits      time.Time  // since when something waits for its place
+	held       []*machine // machines whose room is kept for it
+	searchAt   time.Time  // when room may be made for it again
+	warmAt     time.Time  // the same on machines that have its image
 }
 
 // task is one task of a job. A task has at most one copy that it is waiting
@@ -160,6 +168,11 @@
 	for _, j := range l.ordered() {
 		l.settle(j)
 	}
+	for _, m := range l.roster {
+		if m.session > 0 {
+			l.hurry(m) // shows the token to a worker with tasks
+		}
+	}
 	n.log.Info("leading", "term", n.claim.term, "jobs", len(l.jobs), "machines", len(l.machines))
 }
 
@@ -188,16 +201,6 @@
 	return j.due
 }
 
-// fleetOrder lists the machines by name, which is the order of their creation.
-func (l *leader) fleetOrder() []*machine {
-	list := make([]*machine, 0, len(l.machines))
-	for _, m := range l.machines {
-		list = append(list, m)
-	}
-	slices.SortFunc(list, func(a, b *machine) int { return cmp.Compare(a.id, b.id) })
-	return list
-}
-
 func (l *leader) addJob(rec *bookkeeping.Job, stamp uint64) *job {
 	s := rec.Spec
 	j := &job{
@@ -370,7 +373,7 @@
 	for _, c := range j.copies {
 		j.survivors[c.m.id] = true
 		if c.m.hold == nil {
-			c.m.hold, c.m.holdTill = j, l.n.now.Add(tuning.HoldFor)
+			c.m.keep(j, l.n.now.Add(tuning.HoldFor))
 		}
 	}
 }
@@ -385,7 +388,7 @@
 		l.drop(c)
 		return
 	}
-	c.m.urgent = true
+	l.hurry(c.m)
 }
 
 // setDone notes that a task has completed. The tasks of a gang complete
@@ -461,16 +464,19 @@
 }
 
 func (l *leader) tick() {
-	l.tickMachines()
-	if l.n.lead != l {
-		return
+	if !l.n.now.Before(l.watchAt) {
+		l.watchAt = l.n.now.Add(tuning.WatchMachines)
+		l.tickMachines()
+		if l.n.lead != l {
+			return
+		}
+		l.tickFleet()
 	}
 	if l.plan && !l.n.now.Before(l.planAt) || l.n.now.Sub(l.planAt) > tuning.PlanIdle {
 		l.plan = false
-		l.planAt = l.n.now.Add(tuning.PlanEvery)
 		l.schedule()
+		l.planAt = l.n.now.Add(l.planPause())
 	}
-	l.tickFleet()
 	l.commitNext()
 	l.sendDirect()
 }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -61,6 +61,11 @@
 	return room{t.CPUs - m.cpus, t.GPUs - m.gpus, t.MemoryGB - m.memory}
 }
 
+// roomy says whether a machine has anything left to give.
+func (m *machine) roomy(t *protocol.MachineType) bool {
+	return m.cpus < t.CPUs && m.memory < t.MemoryGB && (t.GPUs == 0 || m.gpus < t.GPUs)
+}
+
 // open says whether a machine takes new tasks at all.
 func (l *leader) open(m *machine) bool {
 	return m.stamp != 0 && !m.writing && !m.queued && !m.closed && !m.deleting && l.alive(m) && l.kind(m) != nil
@@ -139,11 +144,16 @@
 // sites lists the machines that can take tasks of a job, the best first.
 func (l *leader) sites(j *job, zone string) []site {
 	var list []site
-	for _, m := range l.fleetOrder() {
-		if zone != "" && m.zone != zone || !l.usable(j, m) {
+	machines := l.vacant
+	if machines == nil {
+		machines = l.roster
+	}
+	l.looks += len(machines)
+	for _, m := range machines {
+		if zone != "" && m.zone != zone {
 			continue
 		}
-		if n := l.left(m).holds(j.spec, len(j.tasks)); n > 0 {
+		if n := l.left(m).holds(j.spec, len(j.tasks)); n > 0 && l.usable(j, m) {
 			list = append(list, site{m: m, count: n, residual: m.slots.free, suspect: len(m.failed) > 0, survivor: j.survivors[m.id], cached: m.hasImage(j.spec.Image), price: l.price(m)})
 		}
 	}
@@ -337,6 +347,7 @@
 	var list []site
 	var limit map[string]int
 	var only string
+	next := 0 // sites before this one are full or not allowed
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.done || t.copies > 0 {
@@ -349,18 +360,18 @@
 		if list == nil {
 			limit, only = l.zoneLimits(j)
 			list = l.sites(j, only)
+			slices.SortFunc(list, byImage)
 		}
-		pick := -1
-		for k, s := range list {
-			if s.count > 0 && limit[s.m.zone] > 0 && (only == "" || s.m.zone == only) && (pick < 0 || byImage(s, list[pick]) < 0) {
-				pick = k
-			}
+		// A site that was taken stays the best until it is full: it has the
+		// image then, and less room left.
+		for next < len(list) && (list[next].count == 0 || limit[list[next].m.zone] == 0 || only != "" && list[next].m.zone != only) {
+			next++
 		}
-		if pick < 0 {
+		if next == len(list) {
 			waiting++
 			continue
 		}
-		s := &list[pick]
+		s := &list[next]
 		l.assign(j, i, t.attempt+1, s.m)
 		quota--
 		limit[s.m.zone]--
@@ -368,7 +379,6 @@
 			only = s.m.zone
 		}
 		s.count = l.left(s.m).holds(j.spec, len(j.tasks))
-		s.residual, s.cached = s.m.slots.free, true
 	}
 	return waiting
 }
@@ -389,7 +399,7 @@
 	t.attempt, t.active = attempt, c
 	l.n.log.Debug("task placed", "job", j.id, "task", index, "attempt", attempt, "machine", m.id)
 	if m.hold == j {
-		m.hold = nil
+		m.release()
 	}
 	if attempt > 1 {
 		l.n.metrics.Repairs++
--- a/internal/coordination/placement_test.go
+++ b/internal/coordination/placement_test.go
@@ -435,7 +435,7 @@
 	if l.open(m) || !m.queued || !m.room("w").Closed {
 		t.Errorf("open %v, record to be written %v", l.open(m), m.queued)
 	}
-	l.judge(m)
+	l.judge(m, l.spares())
 	if !m.deleting {
 		t.Error("not returned once it is empty")
 	}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/gappond/gappond/internal/tuning"
 )
@@ -37,9 +38,15 @@
 // within the teams' limits.
 func (l *leader) schedule() {
 	now := l.n.now
-	for _, m := range l.machines {
+	l.looks = len(l.roster)
+	l.vacant = make([]*machine, 0, len(l.roster))
+	defer func() { l.vacant = nil }()
+	for _, m := range l.roster {
 		if m.hold != nil && (now.After(m.holdTill) || m.hold.gone || m.hold.cancelled || !m.hold.stopping && l.wants(m.hold) == 0) {
-			m.hold = nil
+			m.release()
+		}
+		if l.open(m) && m.roomy(l.kind(m)) {
+			l.vacant = append(l.vacant, m)
 		}
 	}
 	queue := l.ordered()
@@ -76,6 +83,17 @@
 	l.fleet.demand = waiting
 }
 
+// planPause is the pause after a pass over the queue: longer the more machines
+// it had to look at and the smaller the controller's share of a core is, so
+// that planning leaves time for reports and commits.
+func (l *leader) planPause() time.Duration {
+	pause := tuning.PlanEvery
+	if cores := l.n.cfg.Cluster.Resources.Cores; cores > 0 {
+		pause = max(pause, time.Duration(float64(l.looks)*float64(tuning.LookCost)/(cores*tuning.PlanShare)))
+	}
+	return min(pause, tuning.PlanIdle)
+}
+
 // bar keeps the free machines of the zone where the gang lacks least from
 // jobs behind it in the queue.
 func (l *leader) bar(j *job) {
@@ -93,7 +111,7 @@
 	}
 	for _, s := range best {
 		if s.m.hold == nil {
-			s.m.hold, s.m.holdTill = j, l.n.now.Add(2*tuning.PlanIdle)
+			s.m.keep(j, l.n.now.Add(2*tuning.PlanIdle))
 		}
 	}
 }
@@ -150,27 +168,35 @@
 }
 
 // makeRoom stops work that must yield to a waiting job, where that frees
-// enough room for it, and holds the room for it.
+// enough room for it, and holds the room for it. A search that found nothing
+// is not repeated at once: it looks at every machine.
 func (l *leader) makeRoom(j *job, n int) {
-	if l.held(j) == nil {
-		l.yield(j, l.evictions(j, n, false))
+	if l.evicting(j) || l.n.now.Before(j.searchAt) {
+		return
+	}
+	list := l.evictions(j, n, false)
+	if len(list) == 0 {
+		j.searchAt = l.n.now.Add(tuning.SearchPause)
 	}
+	l.yield(j, list)
 }
 
-// held is a machine whose room is kept for a job, nil if there is none.
-func (l *leader) held(j *job) *machine {
-	for _, m := range l.fleetOrder() {
-		if m.hold == j {
-			return m
+// evicting says whether room is being made for a job already.
+func (l *leader) evicting(j *job) bool {
+	for _, m := range j.held {
+		for _, c := range m.copies {
+			if c.stop {
+				return true
+			}
 		}
 	}
-	return nil
+	return false
 }
 
 // yield carries evictions out.
 func (l *leader) yield(j *job, list []eviction) {
 	for _, e := range list {
-		e.m.hold, e.m.holdTill = j, l.n.now.Add(tuning.HoldFor)
+		e.m.keep(j, l.n.now.Add(tuning.HoldFor))
 		for _, c := range e.victims {
 			l.n.metrics.Preemptions++
 			l.preempt(c)
@@ -182,14 +208,8 @@
 // had better wait a moment for machines that have it, which work of lower
 // priority can leave sooner than the image would arrive.
 func (l *leader) warmer(j *job) bool {
-	for _, m := range l.machines {
-		if m.hold == j {
-			for _, c := range m.copies {
-				if c.stop {
-					return true // room is being made already
-				}
-			}
-		}
+	if l.evicting(j) {
+		return true
 	}
 	fetch := 0.0
 	for _, t := range l.n.types {
@@ -197,7 +217,7 @@
 			fetch = max(fetch, j.spec.ImageGB/t.FetchGBPerS)
 		}
 	}
-	if fetch < tuning.WarmFetch || l.held(j) != nil || l.teamRoom(j) < len(j.tasks) {
+	if fetch < tuning.WarmFetch || len(j.held) > 0 || l.n.now.Before(j.warmAt) || l.teamRoom(j) < len(j.tasks) {
 		return false
 	}
 	warm := 0
@@ -209,6 +229,7 @@
 	if warm >= len(j.tasks) {
 		return false // the placement finds them
 	}
+	j.warmAt = l.n.now.Add(tuning.SearchPause)
 	list := l.evictions(j, len(j.tasks), true)
 	cost := 0.0
 	for _, e := range list {
@@ -258,7 +279,8 @@
 		}
 	}
 	collect := func(zone string) (list []eviction) {
-		for _, m := range l.fleetOrder() {
+		l.looks += len(l.roster)
+		for _, m := range l.roster {
 			if zone != "" && m.zone != zone || only != "" && m.zone != only || !l.usable(j, m) || warm && !m.hasImage(j.spec.Image) {
 				continue
 			}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -46,7 +46,7 @@
 
 	noticed bool // the cloud takes the machine away soon
 
-	urgent   bool // has orders that should not wait for a report
+	urgent   bool // in the leader's list of hurried machines
 	busy     bool // a direct order is under way
 	directAt time.Time
 	probing  bool
@@ -76,6 +76,8 @@
 		m = &machine{id: id, copies: map[taskKey]*taskCopy{}, pins: map[taskKey]bool{}, failed: map[string]bool{},
 			idleSince: l.n.now, born: l.n.now, slots: newBuddy(0)}
 		l.machines[id] = m
+		at, _ := slices.BinarySearchFunc(l.roster, m, byName)
+		l.roster = slices.Insert(slices.Clone(l.roster), at, m)
 	}
 	if typeName != "" {
 		m.address, m.typeName, m.zone, m.spot = cmp.Or(address, m.address), typeName, zone, spot
@@ -83,6 +85,34 @@
 	return m
 }
 
+func byName(a, b *machine) int { return cmp.Compare(a.id, b.id) }
+
+// keep holds a machine's room for a job.
+func (m *machine) keep(j *job, till time.Time) {
+	if m.hold != j {
+		m.release()
+		m.hold = j
+		j.held = append(j.held, m)
+	}
+	m.holdTill = till
+}
+
+// release ends the hold.
+func (m *machine) release() {
+	if j := m.hold; j != nil {
+		m.hold = nil
+		j.held = slices.DeleteFunc(j.held, func(o *machine) bool { return o == m })
+	}
+}
+
+// hurry marks a machine as having orders that should not wait for a report.
+func (l *leader) hurry(m *machine) {
+	if !m.urgent {
+		m.urgent = true
+		l.hurried = append(l.hurried, m)
+	}
+}
+
 // kind is the machine's type, nil while it is unknown.
 func (l *leader) kind(m *machine) *protocol.MachineType {
 	t := l.n.types[m.typeName]
@@ -401,18 +431,17 @@
 // the token to workers that this leader has not heard of.
 func (l *leader) sendDirect() {
 	now := l.n.now
-	for _, m := range l.fleetOrder() {
-		if m.busy || m.address == "" || m.deleting || now.Before(m.directAt) {
-			continue
-		}
-		poke := !m.reported && m.session > 0
-		if !m.urgent && !poke {
+	list := l.hurried
+	l.hurried = nil
+	for _, m := range list {
+		m.urgent = false
+		if m.deleting || l.machines[m.id] != m || !m.reported && m.session == 0 {
 			continue
 		}
-		if m.reported && !l.alive(m) {
+		if m.busy || m.address == "" || now.Before(m.directAt) || m.reported && !l.alive(m) {
+			l.hurry(m)
 			continue
 		}
-		m.urgent = false
 		var cmds []protocol.Command
 		if m.reported {
 			cmds = l.orders(m, false)
@@ -453,12 +482,15 @@
 		}
 		if status != 200 && status != 409 {
 			m.directAt = l.n.now.Add(tuning.StopResend)
-			m.urgent = len(m.copies) > 0
+			if len(m.copies) > 0 || !m.reported {
+				l.hurry(m)
+			}
 			return
 		}
 		l.heard(m, body)
-		if m.urgent = status == 409; m.urgent {
+		if status == 409 {
 			m.directAt = l.n.now.Add(tuning.StopResend)
+			l.hurry(m)
 		}
 	})
 }
@@ -511,7 +543,7 @@
 		}
 	}
 	network := silent > 2 && float64(silent) > tuning.SilentShare*float64(total)
-	for _, m := range l.fleetOrder() {
+	for _, m := range l.roster {
 		if l.n.lead != l {
 			return
 		}
--- /dev/null
+++ b/internal/simulation/grown_test.go
@@ -0,0 +1,65 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+// Grown is a deployment of a thousand machines and three zones.
+func grown() Shape {
+	s := Small()
+	s.Zones = []string{"east", "north", "west"}
+	s.Machines, s.Capacity = 260, 1200
+	s.Type = protocol.MachineType{Name: "two", CPUs: 24, GPUs: 2, MemoryGB: 144, CacheGB: 120, FetchGBPerS: 0.6, Price: 5, SpotPrice: 2, BootS: 20, Zones: s.Zones}
+	s.Teams = nil
+	for i := range 8 {
+		s.Teams = append(s.Teams, config.Team{Name: fmt.Sprint("team-", i), GPUs: 200, MaxGPUs: 800})
+	}
+	s.Workers = config.Workers{ReportS: 5, LeaseS: 31, GangWaitS: 50, GangPeerS: 8, CancelS: 51}
+	s.State = config.State{RPS: 250, WriteRPS: 30, ValueKB: 8, TxnOps: 24}
+	s.Cloud = config.Cloud{RPS: 8, ListLagS: 5}
+	s.Resources = config.Resources{Cores: 0.24, MemoryMB: 234, FDLimit: 2000}
+	return s
+}
+
+// crowd makes gangs and arrays of many sizes come for a while.
+func (w *World) crowd(jobs int, span time.Duration) {
+	for i := range jobs {
+		s := array(fmt.Sprintf("run-%06d", 100+i), 1+w.rng.IntN(40))
+		s.Class, s.Team, s.Priority, s.Spot = "array", w.shape.Teams[w.rng.IntN(len(w.shape.Teams))].Name, "idle", true
+		s.Image, s.ImageGB, s.EstimateS, s.DeadlineS = fmt.Sprint("img-", w.rng.IntN(12)), 6, 40, 150
+		s.MemoryGB = 54
+		if w.rng.IntN(3) == 0 {
+			s.Class, s.Shape, s.Priority, s.Tasks = "gang", protocol.ShapeGang, "high", 1<<w.rng.IntN(6)
+			s.GPUs, s.CPUs, s.MemoryGB, s.OneZone, s.Spot, s.DeadlineS = w.shape.Type.GPUs, 20, 110, true, false, 0
+			s.CheckpointS, s.SaveS, s.EstimateS = 45, 4, 120
+		}
+		w.submit(w.between(0, span), s, s.EstimateS*(0.5+w.rng.Float64()), 0, false)
+	}
+}
+
+// TestGrown plays a day of a thousand machines: everything is served, and the
+// work that is asked of the state service and the cloud keeps within bounds.
+func TestGrown(t *testing.T) {
+	w := NewShaped(1, logs(), grown())
+	w.crowd(200, 120*time.Second)
+	w.waitFor(t, 400*time.Second, "all is done", func() bool {
+		for _, u := range w.users {
+			if !u.over {
+				return false
+			}
+		}
+		return true
+	})
+	if n := w.state.refused; n > 20 {
+		t.Errorf("the state service refuses %d requests beyond its budget", n)
+	}
+	if limit := 40 * len(w.users); w.state.changed > limit {
+		t.Errorf("%d changes for %d jobs", w.state.changed, len(w.users))
+	}
+	w.check(t)
+}
--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -47,7 +47,7 @@
 	}
 	r.onAt[t.name] = t
 	r.use[s.Team] += s.GPUs
-	for _, team := range r.w.teams {
+	for _, team := range r.w.shape.Teams {
 		if team.Name == s.Team && team.MaxGPUs > 0 && r.use[s.Team] > team.MaxGPUs+1e-6 {
 			r.broken("quota", "%s uses %v GPUs", s.Team, r.use[s.Team])
 		}
@@ -74,7 +74,7 @@
 
 func (r *rules) checkCancelled(t *workerTask) {
 	j := r.jobs[t.job.ID]
-	if !j.cancelled.IsZero() && r.w.Now.Sub(j.cancelled) > secs(r.w.workset.CancelS) {
+	if !j.cancelled.IsZero() && r.w.Now.Sub(j.cancelled) > secs(r.w.shape.Workers.CancelS) {
 		r.broken("ran_cancelled", "%s is on %s %v after", t.name, t.k.h.ID, r.w.Now.Sub(j.cancelled))
 	}
 }
@@ -165,7 +165,7 @@
 		u.over = true
 		if a.Phase == protocol.PhaseCancelled && u.j.cancelled.IsZero() {
 			u.j.cancelled = u.w.Now
-			u.w.after(secs(u.w.workset.CancelS)+time.Millisecond, func() {
+			u.w.after(secs(u.w.shape.Workers.CancelS)+time.Millisecond, func() {
 				for i := range u.j.spec.Tasks {
 					if t := u.w.rules.onAt[protocol.TaskName(u.j.spec.ID, i)]; t != nil {
 						u.w.rules.checkCancelled(t)
--- a/internal/simulation/services.go
+++ b/internal/simulation/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/gappond/gappond/internal/protocol"
+	"golang.org/x/time/rate"
 )
 
 func newReader(b []byte) io.Reader { return bytes.NewReader(b) }
@@ -40,7 +42,11 @@
 	nextID   uint64
 	watches  []*watch
 	down     bool
-	requests int
+	slow     time.Duration // an answer takes so much longer
+	calls    *rate.Limiter
+	writes   *rate.Limiter
+	// what was asked of it
+	requests, changed, refused, bytes int
 }
 
 type change struct {
@@ -61,7 +67,9 @@
 }
 
 func newStateService(w *World) *stateService {
-	s := &stateService{w: w, keys: map[string]protocol.Entry{}, leases: map[uint64]*lease{}}
+	budget := func(rps float64) *rate.Limiter { return rate.NewLimiter(rate.Limit(rps), int(rps)) }
+	s := &stateService{w: w, keys: map[string]protocol.Entry{}, leases: map[uint64]*lease{},
+		calls: budget(w.shape.State.RPS), writes: budget(w.shape.State.WriteRPS)}
 	var tick func()
 	tick = func() {
 		s.expire()
@@ -120,6 +128,16 @@
 
 func (s *stateService) serve(method, path string, body []byte, from *controller, answer func(int, []byte)) {
 	s.requests++
+	s.bytes += len(body)
+	if s.slow > 0 {
+		prompt := answer
+		answer = func(status int, body []byte) { s.w.after(s.slow, func() { prompt(status, body) }) }
+	}
+	if !s.calls.AllowN(s.w.Now, 1) {
+		s.refused++
+		answer(429, nil)
+		return
+	}
 	u, _ := url.Parse(path)
 	q := u.Query()
 	if u.Path == "/watch" {
@@ -180,13 +198,19 @@
 func (s *stateService) txn(body []byte, answer func(int, []byte)) {
 	var t protocol.Txn
 	decode(body, &t)
-	if len(t.Then) > 12 || len(t.If) > 48 || len(body) > protocol.MaxBody {
+	if n := len(t.Then); n > 0 && !s.writes.AllowN(s.w.Now, n) {
+		s.refused++
+		answer(429, nil)
+		return
+	}
+	s.changed += len(t.Then)
+	if len(t.Then) > s.w.shape.State.TxnOps || len(t.If) > 4*s.w.shape.State.TxnOps || len(body) > protocol.MaxBody {
 		s.w.rules.broken("limits", "transaction of %d operations, %d conditions, %d bytes", len(t.Then), len(t.If), len(body))
 		answer(400, nil)
 		return
 	}
 	for _, c := range t.Then {
-		if len(c.Value) > 8<<10 {
+		if float64(len(c.Value)) > s.w.shape.State.ValueKB*1024 {
 			s.w.rules.broken("limits", "value of %d bytes under %s", len(c.Value), c.Set)
 		}
 		if c.Lease != 0 && s.leases[c.Lease] == nil {
@@ -222,8 +246,9 @@
 func (s *stateService) notify() {
 	for _, x := range slices.Clone(s.watches) {
 		var events []protocol.WatchEvent
-		for _, c := range s.changes {
-			if c.event.Stamp > x.after && strings.HasPrefix(c.key, x.prefix) {
+		from, _ := slices.BinarySearchFunc(s.changes, x.after+1, func(c change, after uint64) int { return cmp.Compare(c.event.Stamp, after) })
+		for _, c := range s.changes[from:] {
+			if strings.HasPrefix(c.key, x.prefix) {
 				events = append(events, c.event)
 			}
 		}
@@ -250,6 +275,8 @@
 	next     int
 	down     bool
 	capacity int
+	calls    *rate.Limiter
+	requests int
 	history  []snapshot
 }
 
@@ -264,12 +291,9 @@
 	list []protocol.Machine
 }
 
-// The simulated machines: four GPUs each.
-var machineType = protocol.MachineType{Name: "four", CPUs: 32, GPUs: 4, MemoryGB: 256, CacheGB: 60, FetchGBPerS: 1,
-	Price: 10, SpotPrice: 3, BootS: 20, Zones: []string{"east", "west"}}
-
 func newCloudService(w *World) *cloudService {
-	c := &cloudService{w: w, rented: map[string][]string{}, capacity: 12}
+	c := &cloudService{w: w, rented: map[string][]string{}, capacity: w.shape.Capacity,
+		calls: rate.NewLimiter(rate.Limit(w.shape.Cloud.RPS), int(2*w.shape.Cloud.RPS))}
 	var tick func()
 	tick = func() {
 		var list []protocol.Machine
@@ -287,8 +311,8 @@
 		w.after(500*time.Millisecond, tick)
 	}
 	w.after(0, tick)
-	for i := range 4 {
-		c.add(w.zones[i%2], false, 0)
+	for i := range w.shape.Machines {
+		c.add(w.shape.Zones[i%len(w.shape.Zones)], false, 0)
 	}
 	return c
 }
@@ -296,7 +320,7 @@
 func (c *cloudService) add(zone string, spot bool, boot time.Duration) string {
 	c.next++
 	id := fmt.Sprintf("i-%06d", c.next)
-	h := &host{Machine: protocol.Machine{ID: id, Address: id, Type: machineType.Name, Zone: zone, Spot: spot, Phase: protocol.MachineBooting}, born: c.w.Now}
+	h := &host{Machine: protocol.Machine{ID: id, Address: id, Type: c.w.shape.Type.Name, Zone: zone, Spot: spot, Phase: protocol.MachineBooting}, born: c.w.Now}
 	c.hosts = append(c.hosts, h)
 	c.w.zoneOf[id] = zone
 	c.w.after(boot, func() {
@@ -318,23 +342,34 @@
 }
 
 func (c *cloudService) serve(method, path string, body []byte, answer func(int, []byte)) {
+	c.requests++
 	if c.down {
 		answer(503, encode(protocol.ErrorBody{Error: "trouble"}))
 		return
 	}
+	if !c.calls.AllowN(c.w.Now, 1) {
+		answer(429, nil)
+		return
+	}
 	u, _ := url.Parse(path)
 	switch {
 	case u.Path == protocol.PathMachineTypes:
-		answer(200, encode(protocol.MachineTypes{Types: []protocol.MachineType{machineType}}))
+		answer(200, encode(protocol.MachineTypes{Types: []protocol.MachineType{c.w.shape.Type}}))
 	case u.Path == protocol.PathMachines && method == "GET":
 		lag := c.w.between(4*time.Second, 10*time.Second)
-		page := protocol.MachineList{}
+		var list []protocol.Machine
 		for _, s := range c.history {
 			if c.w.Now.Sub(s.at) >= lag {
-				page.Machines = s.list
+				list = s.list
 			}
 		}
-		answer(200, encode(page))
+		from, found := slices.BinarySearchFunc(list, u.Query().Get("after"), func(m protocol.Machine, id string) int { return cmp.Compare(m.ID, id) })
+		if found {
+			from++
+		}
+		limit, _ := strconv.Atoi(u.Query().Get("page"))
+		list = list[from:]
+		answer(200, encode(protocol.MachineList{Machines: list[:min(limit, len(list))], More: len(list) > limit}))
 	case u.Path == protocol.PathMachines:
 		var r protocol.Rental
 		decode(body, &r)
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -15,7 +15,7 @@
 // load makes users with jobs of every shape.
 func (w *World) load(jobs int, span time.Duration) {
 	for i := range jobs {
-		s := &protocol.Job{ID: fmt.Sprintf("run-%06d", 100+i*7), Class: "c", Team: w.teams[w.rng.IntN(len(w.teams))].Name,
+		s := &protocol.Job{ID: fmt.Sprintf("run-%06d", 100+i*7), Class: "c", Team: w.shape.Teams[w.rng.IntN(len(w.shape.Teams))].Name,
 			Shape: protocol.ShapeArray, Priority: []string{"idle", "normal", "high"}[w.rng.IntN(3)], Tasks: 1 + w.rng.IntN(6),
 			CPUs: 4, GPUs: 1, MemoryGB: 20, Image: fmt.Sprintf("img-%d", w.rng.IntN(3)), ImageGB: 2 + 4*w.rng.Float64(),
 			Spot: w.rng.IntN(2) == 0, EstimateS: 20, CheckpointS: float64(w.rng.IntN(2)) * 10, SaveS: 2}
@@ -29,7 +29,7 @@
 		case 1:
 			s.Spread = true
 		case 2:
-			s.Zone = w.zones[w.rng.IntN(2)]
+			s.Zone = w.shape.Zones[w.rng.IntN(2)]
 		}
 		var cancel time.Duration
 		if w.rng.IntN(5) == 0 {
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -60,7 +60,7 @@
 func newWorker(w *World, h *host) *worker {
 	k := &worker{w: w, h: h, session: 1, answered: w.Now, tasks: map[string]*workerTask{}, images: map[string]bool{}, node: w.rng.IntN(len(w.nodes))}
 	var tick func()
-	next := w.between(0, secs(w.workset.ReportS))
+	next := w.between(0, secs(w.shape.Workers.ReportS))
 	due := w.Now.Add(next)
 	tick = func() {
 		if k.dead {
@@ -68,7 +68,7 @@
 		}
 		// A machine resumes within its lease or not at all: its tasks are gone
 		// when the lease ends, hanging or not.
-		if w.Now.Sub(k.answered) > secs(w.workset.LeaseS) {
+		if w.Now.Sub(k.answered) > secs(w.shape.Workers.LeaseS) {
 			for _, t := range k.list() {
 				t.leave()
 			}
@@ -80,7 +80,7 @@
 		}
 		if !k.hung {
 			if !k.inFlight && (!w.Now.Before(due) || k.changed && w.Now.Sub(k.lastSent) >= 500*time.Millisecond) {
-				due = w.Now.Add(w.between(secs(w.workset.ReportS*0.75), secs(w.workset.ReportS*1.25)))
+				due = w.Now.Add(w.between(secs(w.shape.Workers.ReportS*0.75), secs(w.shape.Workers.ReportS*1.25)))
 				k.send()
 			}
 		}
@@ -191,7 +191,7 @@
 	}
 	if token > k.token {
 		k.token = token
-		if k.w.Now.Sub(k.tokenAt) > secs(k.w.workset.LeaseS/2) {
+		if k.w.Now.Sub(k.tokenAt) > secs(k.w.shape.Workers.LeaseS/2) {
 			k.tokenAt = k.w.Now
 			k.changed = true
 		}
@@ -272,12 +272,13 @@
 			cpus, gpus, memory = cpus+o.job.CPUs, gpus+o.job.GPUs, memory+o.job.MemoryGB
 		}
 	}
-	if cpus+t.job.CPUs > machineType.CPUs || gpus+t.job.GPUs > machineType.GPUs || memory+t.job.MemoryGB > machineType.MemoryGB {
+	machine := &k.w.shape.Type
+	if cpus+t.job.CPUs > machine.CPUs || gpus+t.job.GPUs > machine.GPUs || memory+t.job.MemoryGB > machine.MemoryGB {
 		refuse(protocol.CauseNoRoom)
 		return
 	}
 	k.tasks[key] = t
-	fetch := secs(t.job.ImageGB / machineType.FetchGBPerS)
+	fetch := secs(t.job.ImageGB / k.w.shape.Type.FetchGBPerS)
 	if k.images[t.job.Image] {
 		fetch = 0
 	}
@@ -336,7 +337,7 @@
 	}
 	t.gang = g
 	g.members[t.index] = t
-	t.k.wait(secs(w.workset.GangWaitS), t, func() {
+	t.k.wait(secs(w.shape.Workers.GangWaitS), t, func() {
 		if t.state == protocol.TaskWaiting {
 			t.exit(protocol.CauseAlone, false)
 		}
@@ -393,7 +394,7 @@
 	}
 	for _, t := range g.list() {
 		if t != lost {
-			t.k.wait(w.between(0, secs(w.workset.GangPeerS)), t, func() { t.exit(protocol.CausePeers, false) })
+			t.k.wait(w.between(0, secs(w.shape.Workers.GangPeerS)), t, func() { t.exit(protocol.CausePeers, false) })
 		}
 	}
 }
@@ -422,7 +423,7 @@
 	if g.stopped.IsZero() {
 		g.stopped = w.Now
 		run := j.progress[0] + w.Now.Sub(g.began).Seconds()
-		w.after(secs(w.workset.GangPeerS), func() {
+		w.after(secs(w.shape.Workers.GangPeerS), func() {
 			if g.over {
 				return
 			}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -49,15 +49,44 @@
 	held  []func()
 }
 
+// Shape is a deployment's size: zones, machines, teams and budgets.
+type Shape struct {
+	Zones     []string
+	Machines  int // up at the start, shared among the zones
+	Capacity  int // machines that the cloud has, those included
+	Type      protocol.MachineType
+	Teams     []config.Team
+	Workers   config.Workers
+	State     config.State
+	Cloud     config.Cloud
+	Resources config.Resources
+}
+
+// Small is the shape of most tests.
+func Small() Shape {
+	zones := []string{"east", "west"}
+	return Shape{
+		Zones: zones, Machines: 4, Capacity: 12,
+		Type: protocol.MachineType{Name: "four", CPUs: 32, GPUs: 4, MemoryGB: 256, CacheGB: 60, FetchGBPerS: 1,
+			Price: 10, SpotPrice: 3, BootS: 20, Zones: zones},
+		Teams:     []config.Team{{Name: "red", GPUs: 4, MaxGPUs: 10}, {Name: "blue", GPUs: 8, MaxGPUs: 16}, {Name: "free"}},
+		Workers:   config.Workers{ReportS: 3, LeaseS: 24, GangWaitS: 40, GangPeerS: 4, CancelS: 49},
+		State:     config.State{RPS: 80, WriteRPS: 15, ValueKB: 8, TxnOps: 12},
+		Cloud:     config.Cloud{RPS: 6, ListLagS: 6},
+		Resources: config.Resources{Cores: 0.06, MemoryMB: 98, FDLimit: 800},
+	}
+}
+
 // World is the deployment.
 type World struct {
+	shape Shape
+
 	Now   time.Time
 	rng   *rand.Rand
 	queue eventQueue
 	seq   int
 	log   *slog.Logger
 
-	zones   []string
 	zoneOf  map[string]string
 	cuts    []*cut
 	nodes   []*controller
@@ -66,20 +95,19 @@
 	workers map[string]*worker
 	users   []*user
 	rules   *rules
-	workset config.Workers
-	teams   []config.Team
 }
 
-// New makes a world of three controllers.
-func New(seed uint64, logs io.Writer) *World {
+// New makes a small world of three controllers.
+func New(seed uint64, logs io.Writer) *World { return NewShaped(seed, logs, Small()) }
+
+// NewShaped makes a world of three controllers and any size.
+func NewShaped(seed uint64, logs io.Writer, shape Shape) *World {
 	w := &World{
+		shape:   shape,
 		Now:     time.Unix(1_800_000_000, 0),
 		rng:     rand.New(rand.NewPCG(seed, 7)),
-		zones:   []string{"east", "west"},
 		zoneOf:  map[string]string{},
 		workers: map[string]*worker{},
-		workset: config.Workers{ReportS: 3, LeaseS: 24, GangWaitS: 40, GangPeerS: 4, CancelS: 49},
-		teams:   []config.Team{{Name: "red", GPUs: 4, MaxGPUs: 10}, {Name: "blue", GPUs: 8, MaxGPUs: 16}, {Name: "free"}},
 	}
 	if logs != nil {
 		w.log = slog.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
@@ -96,7 +124,7 @@
 	w.cloud = newCloudService(w)
 	for i := range 3 {
 		c := &controller{w: w, name: "node-" + strconv.Itoa(i), peers: map[string]bool{}}
-		w.zoneOf[c.name] = w.zones[i%len(w.zones)]
+		w.zoneOf[c.name] = shape.Zones[i%len(shape.Zones)]
 		w.nodes = append(w.nodes, c)
 	}
 	for _, c := range w.nodes {
@@ -116,10 +144,8 @@
 			c.Siblings = append(c.Siblings, config.Sibling{Name: n.name, Zone: w.zoneOf[n.name]})
 		}
 	}
-	c.Cluster = config.Cluster{Nodes: 3, Zones: w.zones, Teams: w.teams, Workers: w.workset,
-		State:     config.State{RPS: 80, WriteRPS: 15, ValueKB: 8, TxnOps: 12},
-		Cloud:     config.Cloud{RPS: 6, ListLagS: 6},
-		Resources: config.Resources{Cores: 0.06, MemoryMB: 98, FDLimit: 800}}
+	c.Cluster = config.Cluster{Nodes: 3, Zones: w.shape.Zones, Teams: w.shape.Teams, Workers: w.shape.Workers,
+		State: w.shape.State, Cloud: w.shape.Cloud, Resources: w.shape.Resources}
 	return c
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -198,6 +198,16 @@
 	PlanEvery = 100 * time.Millisecond
 	// PlanIdle is the longest pause between two passes: time-outs have no event.
 	PlanIdle = time.Second
+	// LookCost is about what a look at one machine for one job costs of a core.
+	LookCost = 100 * time.Nanosecond
+	// PlanShare is the part of the controller's processor time that passes over
+	// the queue may take; reports, commits and users need the rest.
+	PlanShare = 0.25
+	// SearchPause is the pause after a search for work to stop found nothing.
+	SearchPause = time.Second
+	// WatchMachines is how often all machines are looked over for silence,
+	// lapse and return: finer than any time-out that depends on it.
+	WatchMachines = 200 * time.Millisecond
 	// SlotCPUs is the share of processors that makes a slot on machines
 	// without GPUs; memory follows in the machine's own proportion.
 	SlotCPUs = 4.0
@@ -244,6 +254,8 @@
 	BootSlackShare = 1.2
 	// PackEvery is the pause between two machines that are emptied to save money.
 	PackEvery = 5 * time.Second
+	// PackTries is how many machines are looked at for one to empty.
+	PackTries = 8
 	// PackBelow is the share of its GPUs in use from which on a machine stays.
 	PackBelow = 0.5
 	// PackWorth is how much longer, in seconds, a task must be expected to run
