Machines share room records; new places are written first, marks of done tasks last

Cause: a thousand machines cost two thousand changes of a budget of 18 a second, and places waited behind the marks of single tasks. Machines of a zone share a record, written when they are rented; marks wait for others of their job.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -7,7 +7,7 @@
 //	g/c/types       the machine types as the leader last saw them
 //	g/j/<job>       an unfinished job: description, state and first tasks
 //	g/t/<job>/<n>   further tasks of a job that does not fit into one record
-//	g/m/<machine>   a machine's room record
+//	g/m/<rack>      the room record of a rack: some machines of one zone
 //	g/x/<from>/<to> messages between controllers that no link leads to
 //	h/<job>         a finished job, kept for good
 //
@@ -60,8 +60,8 @@
 	return id, n, err == nil && n > 0
 }
 
-// MachineKey is the key of a machine's room record.
-func MachineKey(id string) string { return MachinePrefix + id }
+// RackKey is the key of a rack's room record.
+func RackKey(id string) string { return MachinePrefix + id }
 
 // MailKey is the key of the messages from one controller to another.
 func MailKey(from, to string) string { return MailPrefix + from + "/" + to }
@@ -122,10 +122,19 @@
 	Tasks  []Task `json:"tasks,omitempty"`
 }
 
-// Room is a machine's room record. A claim on a machine's room is guarded on
-// the record's revision.
+// Rack is the room record of some machines of one zone. A claim on a machine's
+// room is guarded on the record's revision.
+type Rack struct {
+	Writer   string `json:"w"`
+	Machines []Room `json:"rooms"`
+}
+
+// RackBytes is how many bytes of rooms fit into one record.
+func RackBytes(valueKB float64) int { return int(valueKB*1024) - 256 }
+
+// Room is a machine's entry in its rack.
 type Room struct {
-	Writer  string `json:"w"`
+	ID      string `json:"id"`
 	Address string `json:"addr"`
 	Type    string `json:"type"`
 	Zone    string `json:"zone"`
@@ -134,6 +143,16 @@
 	Closed bool `json:"closed,omitempty"`
 }
 
+// Size is how many bytes an entry takes at most, whatever address it gets and
+// whether or not it is closed.
+func (r Room) Size() int {
+	r.Closed, r.Spot = true, true
+	return len(Encode(r)) + 1 + max(0, maxAddress-len(r.Address))
+}
+
+// maxAddress is the longest IPv4 address with its port, in bytes.
+const maxAddress = 21
+
 // Final is the record of a finished job.
 type Final struct {
 	Writer string `json:"w"`
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -20,7 +21,7 @@
 	sent    time.Time
 	lost    bool // an answer was lost: it may have been applied
 	jobs    []*jobWrite
-	rooms   []*machine
+	racks   []rackWrite
 	deletes []string
 }
 
@@ -34,11 +35,11 @@
 
 // batch builds a transaction within the state service's limits.
 type batch struct {
-	l     *leader
-	txn   protocol.Txn
-	bytes int
-	tx    *commit
-	rooms map[*machine]bool // rooms guarded on
+	l       *leader
+	txn     protocol.Txn
+	bytes   int
+	tx      *commit
+	guarded map[*rack]bool
 }
 
 func (b *batch) room() int { return b.l.n.cfg.Cluster.State.TxnOps - len(b.txn.Then) }
@@ -67,45 +68,33 @@
 
 // commitNext sends the next transaction, if there is something to write.
 func (l *leader) commitNext() {
-	if l.inFlight != nil || l.n.now.Before(l.commitAt) || len(l.dirty)+len(l.rooms)+len(l.cleanup) == 0 {
+	if l.inFlight != nil || l.n.now.Before(l.commitAt) {
 		return
 	}
-	if l.n.writes.TokensAt(l.n.now) < 1 {
+	tokens := l.n.writes.TokensAt(l.n.now)
+	if tokens < 1 {
 		return
 	}
 	tx := &commit{writer: l.n.unique(), sent: l.n.now}
-	b := &batch{l: l, tx: tx, rooms: map[*machine]bool{}}
+	b := &batch{l: l, tx: tx, guarded: map[*rack]bool{}}
 	b.guard(bookkeeping.ClaimKey, l.n.claim.term)
+	b.addRacks(func(r *rack) bool { return r.queued })
 	var later []*job
-	for _, j := range l.dirty {
+	list, urgent, ready := l.byUrgency()
+	for i, j := range list {
 		j.queued = false
-		if j.gone || len(j.dirty) == 0 {
-			continue
+		if i < urgent || i < ready && float64(len(b.txn.Then)+2) <= tokens {
+			b.addJob(j)
 		}
-		b.addJob(j)
 		if len(j.dirty) > 0 {
 			j.queued = true
 			later = append(later, j)
 		}
 	}
 	l.dirty = later
-	var rooms []*machine
-	for _, m := range l.rooms {
-		if m.deleting || l.machines[m.id] != m {
-			m.queued = false
-			continue
-		}
-		value := bookkeeping.Encode(m.room(tx.writer))
-		if m.typeName == "" || b.rooms[m] || !b.fits(1, 1, len(value)+200) {
-			rooms = append(rooms, m)
-			continue
-		}
-		m.queued, m.writing = false, true
-		b.guard(bookkeeping.MachineKey(m.id), m.stamp)
-		b.set(bookkeeping.MachineKey(m.id), value)
-		tx.rooms = append(tx.rooms, m)
+	if tokens >= float64(l.n.writes.Burst())/2 {
+		b.addRacks(func(r *rack) bool { return !r.stale.IsZero() && l.n.now.Sub(r.stale) > tuning.StaleWait })
 	}
-	l.rooms = rooms
 	for len(l.cleanup) > 0 && b.fits(1, 0, 200) {
 		b.remove(l.cleanup[0])
 		tx.deletes = append(tx.deletes, l.cleanup[0])
@@ -121,6 +110,56 @@
 	l.send(tx)
 }
 
+// byUrgency orders the jobs with unwritten changes: new places first, by
+// priority, then ends, then the marks of single tasks that are done, which
+// their workers go on reporting until they are stored. The first ones are
+// urgent: they may run the budget into debt. So is what has waited long. Marks
+// are not ready at once: the tasks of an array end one after the other.
+func (l *leader) byUrgency() (list []*job, urgent, ready int) {
+	type entry struct {
+		j     *job
+		class int
+	}
+	var entries []entry
+	for _, j := range l.dirty {
+		if j.gone || len(j.dirty) == 0 {
+			j.queued = false
+			continue
+		}
+		e := entry{j, 3}
+		switch age := l.n.now.Sub(j.dirtySince); {
+		case j.placing() || age > tuning.WriteWait:
+			e.class = 0
+			urgent++
+			ready++
+		case j.finalPhase() != "":
+			e.class = 1
+			ready++
+		case age > tuning.MarkWait:
+			e.class = 2
+			ready++
+		}
+		entries = append(entries, e)
+	}
+	slices.SortStableFunc(entries, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.j.rank, a.j.rank))
+	})
+	for _, e := range entries {
+		list = append(list, e.j)
+	}
+	return list, urgent, ready
+}
+
+// placing says whether a job has places that are not written yet.
+func (j *job) placing() bool {
+	for _, c := range j.copies {
+		if !c.committed {
+			return true
+		}
+	}
+	return false
+}
+
 // addJob adds as much of a job as fits. A job's own record goes last, so that
 // a gang's new epoch shows only when every task's place is written.
 func (b *batch) addJob(j *job) {
@@ -159,13 +198,13 @@
 		} else {
 			value = bookkeeping.Encode(bookkeeping.Chunk{Writer: b.tx.writer, Tasks: tasks})
 		}
-		rooms := map[*machine]bool{}
+		racks := map[*rack]bool{}
 		for _, c := range copies {
-			if !b.rooms[c.m] {
-				rooms[c.m] = true
+			if c.m.rack != nil && !b.guarded[c.m.rack] {
+				racks[c.m.rack] = true
 			}
 		}
-		conditions := 1 + len(rooms)
+		conditions := 1 + len(racks)
 		if !b.fits(1, conditions, len(value)+conditions*80) {
 			break
 		}
@@ -176,9 +215,8 @@
 		b.guard(key, j.stamps[r])
 		b.set(key, value)
 		for _, c := range copies {
-			if !b.rooms[c.m] {
-				b.rooms[c.m] = true
-				b.guard(bookkeeping.MachineKey(c.m.id), c.m.stamp)
+			if c.m.rack != nil {
+				b.guardRack(c.m.rack)
 			}
 		}
 		w.records = append(w.records, r)
@@ -306,9 +344,8 @@
 	l.inFlight = nil
 	l.n.metrics.Commits++
 	l.n.metrics.CommitSeconds = append(l.n.metrics.CommitSeconds, l.n.now.Sub(tx.sent).Seconds())
-	for _, m := range tx.rooms {
-		m.writing = false
-		m.stamp = max(m.stamp, revision)
+	for _, w := range tx.racks {
+		l.written(w, revision)
 		l.plan = true
 	}
 	for _, w := range tx.jobs {
@@ -367,10 +404,16 @@
 		}
 	}
 	l.cleanup = append(l.cleanup, tx.deletes...)
-	for _, m := range tx.rooms {
-		m.writing = false
-		l.writeRoom(m)
-		l.reread(bookkeeping.MachineKey(m.id))
+	for _, w := range tx.racks {
+		w.rack.queued = true
+		if len(failed) == 0 {
+			l.reread(w.rack.key) // which key was in the way is not known
+		}
+	}
+	for _, k := range failed {
+		if strings.HasPrefix(k, bookkeeping.MachinePrefix) {
+			l.reread(k)
+		}
 	}
 	for _, w := range tx.jobs {
 		j := w.j
@@ -416,9 +459,12 @@
 			}
 			return
 		}
-		if id, ok := strings.CutPrefix(key, bookkeeping.MachinePrefix); ok {
-			if m := l.machines[id]; m != nil {
-				m.stamp = e.Stamp
+		if strings.HasPrefix(key, bookkeeping.MachinePrefix) {
+			for _, r := range l.racks {
+				if r.key == key {
+					r.stamp = e.Stamp
+					r.queued = r.queued || r.stamp == 0
+				}
 			}
 			return
 		}
--- a/internal/coordination/fences_test.go
+++ b/internal/coordination/fences_test.go
@@ -157,7 +157,7 @@
 	for _, c := range txn.If {
 		guards[c.Key] = c.Stamp
 	}
-	for key, want := range map[string]uint64{bookkeeping.ClaimKey: l.n.claim.term, bookkeeping.JobKey(j.id): stamp, bookkeeping.MachineKey(m.id): m.stamp} {
+	for key, want := range map[string]uint64{bookkeeping.ClaimKey: l.n.claim.term, bookkeeping.JobKey(j.id): stamp, m.rack.key: m.rack.stamp} {
 		if got, ok := guards[key]; !ok || got != want {
 			t.Errorf("%s is guarded on %d (%v), want %d", key, got, ok, want)
 		}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/gappond/gappond/internal/bookkeeping"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
 	"golang.org/x/time/rate"
@@ -261,9 +260,7 @@
 	m.release()
 	delete(l.machines, id)
 	l.roster = slices.DeleteFunc(slices.Clone(l.roster), func(o *machine) bool { return o == m })
-	if m.stamp != 0 || m.writing {
-		l.cleanup = append(l.cleanup, bookkeeping.MachineKey(id))
-	}
+	l.leaveRack(m)
 	l.plan = true
 }
 
@@ -329,7 +326,8 @@
 		if t == nil || m.deleting || m.closed {
 			continue
 		}
-		booting := !m.reported && m.stamp == 0
+		// What is booting, or has yet to report to a new leader, is not rented again.
+		booting := !m.reported && (m.session == 0 || now.Sub(l.since) < l.silence())
 		if !booting && !l.alive(m) {
 			continue
 		}
@@ -542,6 +540,9 @@
 				if _, gone := f.deleted[id]; !gone && id != "" {
 					m := l.machine(id, "", r.offer.typeName, r.offer.zone, r.offer.spot)
 					m.born = l.n.now
+					if m.rack == nil {
+						l.writeRoom(m) // all at once, and before they are up
+					}
 				}
 			}
 			if len(names.Machines) < r.count {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -24,9 +24,9 @@
 	teams    map[string]*team
 	waiting  int
 
-	dirty    []*job     // jobs with unwritten changes, in the order they came
-	rooms    []*machine // machines whose room record is to be written
-	cleanup  []string   // keys to delete when there is time
+	dirty    []*job   // jobs with unwritten changes, in the order they came
+	racks    []*rack  // the machines' room records
+	cleanup  []string // keys to delete when there is time
 	inFlight *commit
 	commitAt time.Time
 	hurried  []*machine // have orders that should not wait for a report
@@ -65,6 +65,7 @@
 	copies     map[copyKey]*taskCopy
 	dirty      map[int]bool // records that must be written
 	queued     bool         // in the leader's list of dirty jobs
+	dirtySince time.Time    // when it came into the list
 	writing    bool         // in the transaction under way
 	gone       bool         // the final record is committed
 	guaranteed bool         // fits into its team's guarantee
@@ -131,14 +132,14 @@
 		l.teams[t.Name] = &team{guaranteeCPUs: t.CPUs, guaranteeGPUs: t.GPUs, maxCPUs: t.MaxCPUs, maxGPUs: t.MaxGPUs}
 	}
 	n.mirror.Each(bookkeeping.MachinePrefix, func(e protocol.Entry) {
-		var room bookkeeping.Room
-		if json.Unmarshal(e.Value, &room) != nil {
+		rec, ok := parse[bookkeeping.Rack](e.Value)
+		if !ok {
 			n.log.Error("room record does not parse", "key", e.Key)
 			return
 		}
-		m := l.machine(strings.TrimPrefix(e.Key, bookkeeping.MachinePrefix), room.Address, room.Type, room.Zone, room.Spot)
-		m.stamp, m.closed = e.Stamp, room.Closed
+		l.loadRack(e.Key, e.Stamp, &rec)
 	})
+	slices.SortFunc(l.racks, func(a, b *rack) int { return cmp.Compare(a.key, b.key) })
 	n.mirror.Each(bookkeeping.JobPrefix, func(e protocol.Entry) {
 		rec, err := bookkeeping.DecodeJob(e.Value)
 		if err != nil {
@@ -421,7 +422,7 @@
 	}
 	j.dirty[record] = true
 	if !j.queued {
-		j.queued = true
+		j.queued, j.dirtySince = true, l.n.now
 		l.dirty = append(l.dirty, j)
 	}
 }
--- a/internal/coordination/placement_test.go
+++ b/internal/coordination/placement_test.go
@@ -154,7 +154,9 @@
 
 func (l *leader) testMachine(id, typeName, zone string, spot bool) *machine {
 	m := l.machine(id, "h:1", typeName, zone, spot)
-	m.stamp, m.reported, m.fresh, m.session, m.lastReport, m.answered = 1, true, true, 1, l.n.now, l.n.now
+	l.assignRack(m)
+	m.rack.stamp = 1
+	m.recorded, m.reported, m.fresh, m.session, m.lastReport, m.answered = true, true, true, 1, l.n.now, l.n.now
 	l.kind(m)
 	return m
 }
@@ -432,8 +434,8 @@
 		l.exited(m, c, protocol.TaskReport{Cause: protocol.CauseError})
 		l.drop(c)
 	}
-	if l.open(m) || !m.queued || !m.room("w").Closed {
-		t.Errorf("open %v, record to be written %v", l.open(m), m.queued)
+	if l.open(m) || !m.rack.queued || !m.room().Closed {
+		t.Errorf("open %v, record to be written %v", l.open(m), m.rack.queued)
 	}
 	l.judge(m, l.spares())
 	if !m.deleting {
--- /dev/null
+++ b/internal/coordination/rooms_test.go
@@ -0,0 +1,62 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+// TestRacks: machines that are rented at once share a few records, each within
+// the value limit; a new leader reads every one of them back, and those that
+// are gone leave the records in time.
+func TestRacks(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	l.fleet.rentals = append(l.fleet.rentals, &rental{})
+	l.sendRental(&rental{offer: offer{"big", "a", true}, count: 100})
+	var names []string
+	for i := range 100 {
+		names = append(names, fmt.Sprintf("i-%06d", i))
+	}
+	l.n.handle(Response{ID: l.n.lastRequest(t, ToCloud).ID, Status: 200, Body: bookkeeping.Encode(protocol.MachineNames{Machines: names})})
+	l.commitNext()
+	r := l.n.lastRequest(t, ToState)
+	txn, _ := parse[protocol.Txn](r.Body)
+	if len(txn.Then) > 2 {
+		t.Errorf("%d changes for 100 machines of one rental", len(txn.Then))
+	}
+	l.n.handle(Response{ID: r.ID, Status: 200, Body: []byte(`{"ledger":99}`)})
+
+	next := testLeader(l.n.now)
+	for _, c := range txn.Then {
+		if n := len(c.Value); float64(n) > l.n.cfg.Cluster.State.ValueKB*1024 {
+			t.Errorf("a record of %d bytes", n)
+		}
+		rec, _ := parse[bookkeeping.Rack](c.Value)
+		next.loadRack(c.Set, 99, &rec)
+	}
+	for _, id := range names {
+		if m := next.machines[id]; m == nil || !m.recorded || !l.machines[id].recorded {
+			t.Fatalf("%s is not recorded", id)
+		}
+	}
+
+	for _, id := range names {
+		next.forget(id)
+	}
+	next.n.now = next.n.now.Add(time.Minute)
+	next.commitNext()
+	r = next.n.lastRequest(t, ToState)
+	txn, _ = parse[protocol.Txn](r.Body)
+	next.n.handle(Response{ID: r.ID, Status: 200, Body: []byte(`{"ledger":100}`)})
+	for _, c := range txn.Then {
+		if c.Delete == "" {
+			t.Errorf("%s is written again", c.Set)
+		}
+	}
+	if len(next.racks) != 0 {
+		t.Errorf("%d racks are left", len(next.racks))
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/gappond/gappond/internal/bookkeeping"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
 )
@@ -25,10 +24,10 @@
 	sized                       bool    // the slots follow from the type
 	cpus, gpus, memory          float64 // in use
 
-	stamp   uint64 // revision of the room record, 0 while there is none
-	closed  bool   // takes no further tasks, says the room record
-	writing bool   // the room record is in the transaction under way
-	queued  bool   // the room record is to be written
+	rack      *rack // its room record, shared with others
+	rackBytes int   // of its entry there, at most
+	recorded  bool  // the record has it
+	closed    bool  // takes no further tasks, says the room record
 
 	reported   bool      // to this leader
 	fresh      bool      // the worker has shown this leader's token
@@ -178,7 +177,7 @@
 	if answered {
 		m.answered = now
 	}
-	if m.stamp == 0 {
+	if m.rack == nil {
 		l.writeRoom(m)
 	}
 	if r.NoticeS != nil && !m.noticed {
@@ -591,18 +590,6 @@
 	})
 }
 
-// writeRoom queues the machine's room record.
-func (l *leader) writeRoom(m *machine) {
-	if !m.queued {
-		m.queued = true
-		l.rooms = append(l.rooms, m)
-	}
-}
-
-func (m *machine) room(writer string) bookkeeping.Room {
-	return bookkeeping.Room{Writer: writer, Address: m.address, Type: m.typeName, Zone: m.zone, Spot: m.spot, Closed: m.closed}
-}
-
 // parse reads a JSON answer.
 func parse[T any](body []byte) (T, bool) {
 	var v T
--- a/internal/simulation/grown_test.go
+++ b/internal/simulation/grown_test.go
@@ -55,6 +55,7 @@
 		}
 		return true
 	})
+	t.Logf("%s: %d requests, %d changes, %d bytes", w.clock(), w.state.requests, w.state.changed, w.state.bytes)
 	if n := w.state.refused; n > 20 {
 		t.Errorf("the state service refuses %d requests beyond its budget", n)
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -70,6 +70,14 @@
 	// UserReserve is the part of a budget that users' requests leave to the
 	// node's own needs.
 	UserReserve = 0.25
+	// WriteWait is how long ends and marks of done tasks may wait behind new
+	// places: users expect a job that is over to be called done within 3 s.
+	WriteWait = 1500 * time.Millisecond
+	// MarkWait is how long marks of done tasks wait for others of their job.
+	MarkWait = 700 * time.Millisecond
+	// StaleWait is how long a room record may name machines that are gone: they
+	// take no task, and a machine in its place would be told by its own name.
+	StaleWait = 10 * time.Second
 	// TxnBytes is the largest body of a transaction, below the 64 KiB limit.
 	TxnBytes = 60 << 10
 	// TaskBytes is a generous size of one task's entry in a record, by which
