--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -260,7 +260,7 @@
 			done(e.Status, e.Body)
 		}
 	case Submit:
-		if !n.handOver(e.ID, protocol.PeerRequest{Verb: verbSubmit, Job: e.Job.ID, Body: bookkeeping.Encode(e.Job)}) {
+		if !n.handOver(e.ID, submission(e.Job)) {
 			n.submit(e.ID, e.Job)
 		}
 	case Query:
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -42,18 +42,23 @@
 // handOver sends a user's request on to a sibling that the state service
 // serves while it does not serve this node.
 func (n *Node) handOver(id uint64, r protocol.PeerRequest) bool {
-	if id&carriedID != 0 || n.now.Sub(n.served) < tuning.ServedLately {
+	return n.now.Sub(n.served) >= tuning.ServedLately && n.sendOn(id, r)
+}
+
+// sendOn sends a user's request on to a sibling that the state service serves,
+// to each in turn. What a sibling sent here goes no further.
+func (n *Node) sendOn(id uint64, r protocol.PeerRequest) bool {
+	if id&carriedID != 0 {
 		return false
 	}
-	for _, name := range n.links() {
-		if n.peers[name].status.StateOK {
-			n.nextID++
-			r.ID, r.Origin, r.Target = n.nextID, n.cfg.Name, name
-			n.carried[r.ID] = carried{reply: id, expire: n.now.Add(tuning.UserDeadline)}
-			return n.sendTo(name, r)
-		}
+	list := slices.DeleteFunc(n.links(), func(name string) bool { return !n.peers[name].status.StateOK })
+	if len(list) == 0 {
+		return false
 	}
-	return false
+	n.nextID++
+	r.ID, r.Origin, r.Target = n.nextID, n.cfg.Name, list[n.nextID%uint64(len(list))]
+	n.carried[r.ID] = carried{reply: id, expire: n.now.Add(tuning.UserDeadline)}
+	return n.sendTo(r.Target, r)
 }
 
 // takeRequest answers a user's request that a sibling sent on.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -73,7 +73,11 @@
 		return
 	}
 	if !n.mayWrite() {
-		n.shed(id)
+		// Decisions have the leader's share of the writes; the siblings have
+		// one for submissions.
+		if !n.sendOn(id, submission(j)) {
+			n.shed(id)
+		}
 		return
 	}
 	n.writes.AllowN(n.now, 1)
@@ -108,6 +112,11 @@
 	send()
 }
 
+// submission is a submission on its way to a sibling.
+func submission(j *protocol.Job) protocol.PeerRequest {
+	return protocol.PeerRequest{Verb: verbSubmit, Job: j.ID, Body: bookkeeping.Encode(j)}
+}
+
 func (n *Node) query(id uint64, job string) {
 	if f, ok := n.finals[job]; ok {
 		n.reply(id, 200, finalStatus(job, f))
