--- a/internal/coordination/fences_test.go
+++ b/internal/coordination/fences_test.go
@@ -133,7 +133,7 @@
 func TestCommitFirst(t *testing.T) {
 	t.Run(protocol.ShapeGang, func(t *testing.T) { commitFirst(t, protocol.ShapeGang, (*leader).placeGang) })
 	t.Run(protocol.ShapeArray, func(t *testing.T) {
-		commitFirst(t, protocol.ShapeArray, func(l *leader, j *job) bool { return l.placeArray(j) == 0 })
+		commitFirst(t, protocol.ShapeArray, func(l *leader, j *job) bool { return l.placeArray(j, false) == 0 })
 	})
 }
 
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -393,16 +393,13 @@
 	if j.spec.DeadlineS <= 0 || j.spec.Gang() {
 		return false
 	}
-	boot, fetch := 0.0, 0.0
+	boot := 0.0
 	for _, t := range l.n.types {
 		if t.Fits(j.spec) {
 			boot = max(boot, t.BootS)
-			if t.FetchGBPerS > 0 {
-				fetch = max(fetch, j.spec.ImageGB/t.FetchGBPerS)
-			}
 		}
 	}
-	need := seconds(j.spec.EstimateS*tuning.EstimateSlack + fetch + boot*tuning.BootSlackShare)
+	need := seconds(j.spec.EstimateS*tuning.EstimateSlack + l.fetchSeconds(j.spec) + boot*tuning.BootSlackShare)
 	return l.n.now.Add(need).Before(j.at.Add(seconds(j.spec.DeadlineS)))
 }
 
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -341,8 +341,8 @@
 }
 
 // placeArray gives each waiting task the first free room; it returns how many
-// still wait.
-func (l *leader) placeArray(j *job) (waiting int) {
+// still wait. warm: only on machines that have its image.
+func (l *leader) placeArray(j *job, warm bool) (waiting int) {
 	quota := l.teamRoom(j)
 	var list []site
 	var limit map[string]int
@@ -360,6 +360,9 @@
 		if list == nil {
 			limit, only = l.zoneLimits(j)
 			list = l.sites(j, only)
+			if warm {
+				list = slices.DeleteFunc(list, func(s site) bool { return !s.cached })
+			}
 			slices.SortFunc(list, byImage)
 		}
 		// A site that was taken stays the best until it is full: it has the
--- a/internal/coordination/placement_test.go
+++ b/internal/coordination/placement_test.go
@@ -200,7 +200,7 @@
 			}
 			j := l.testJob(s)
 			if !j.spec.Gang() {
-				waiting := l.placeArray(j)
+				waiting := l.placeArray(j, false)
 				if waiting+len(j.copies) != s.Tasks {
 					t.Fatalf("round %d: %d wait and %d are placed of %d", round, waiting, len(j.copies), s.Tasks)
 				}
@@ -343,11 +343,11 @@
 	j := l.testJob(s)
 	l.addCopy(j, 0, 1, a, 1)
 	old := l.addCopy(j, 1, 1, b, 1)
-	if w := l.placeArray(j); w != 2 {
+	if w := l.placeArray(j, false); w != 2 {
 		t.Errorf("%d wait", w)
 	}
 	l.drop(old)
-	if w := l.placeArray(j); w != 0 {
+	if w := l.placeArray(j, false); w != 0 {
 		t.Errorf("%d wait once the other zone's copy is gone", w)
 	}
 	l.checkPlacement(t, j)
@@ -396,7 +396,7 @@
 	m := l.testMachine("i-1", "big", "a", false)
 	s := protocol.Job{Team: "free", Shape: protocol.ShapeArray, Tasks: 4, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "x", Priority: "idle"}
 	low := l.testJob(s)
-	l.placeArray(low)
+	l.placeArray(low, false)
 	for _, c := range low.copies {
 		c.committed, c.sent, c.state = true, true, protocol.TaskRunning
 	}
@@ -450,7 +450,7 @@
 	l.testMachine("i-1", "big", "a", false)
 	s := protocol.Job{Team: "free", Shape: protocol.ShapeArray, Tasks: 4, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "x", Priority: "idle"}
 	low := l.testJob(s)
-	l.placeArray(low)
+	l.placeArray(low, false)
 	high := gangOf(1, 2)
 	high.Priority = "high"
 	j := l.testJob(high)
@@ -495,7 +495,7 @@
 			l.teams["free"].guaranteeGPUs = 4
 		}
 		other := l.testJob(s)
-		l.placeArray(other)
+		l.placeArray(other, false)
 		for _, o := range other.copies {
 			o.committed, o.sent = true, true
 		}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
 )
 
@@ -52,7 +53,10 @@
 	queue := l.ordered()
 	l.withinGuarantee(queue)
 	var waiting []demand
-	for _, j := range queue {
+	for i, j := range queue {
+		if !j.spec.Gang() && (i == 0 || queue[i-1].spec.Gang() || queue[i-1].rank != j.rank) {
+			l.placeWarm(queue[i:])
+		}
 		n := l.wants(j)
 		if n == 0 {
 			continue
@@ -64,7 +68,7 @@
 			if l.placeGang(j) {
 				continue
 			}
-		} else if n = l.placeArray(j); n == 0 {
+		} else if n = l.placeArray(j, false); n == 0 {
 			continue
 		}
 		if n = min(n, l.teamRoom(j)); n == 0 || j.spec.Gang() && n < len(j.tasks) {
@@ -94,6 +98,41 @@
 	return min(pause, tuning.PlanIdle)
 }
 
+// placeWarm lets the arrays that come next in the queue, of one priority and
+// with no gang between, have the machines that hold their image, in their turn: an array that would fetch
+// its image there leaves them to one behind it that need not. One whose time
+// runs out takes what there is.
+func (l *leader) placeWarm(queue []*job) {
+	for _, j := range queue {
+		if j.spec.Gang() || j.rank != queue[0].rank {
+			return
+		}
+		if l.wants(j) > 0 {
+			l.placeArray(j, l.patient(j))
+		}
+	}
+}
+
+// patient says whether an array can wait for machines that have its image.
+func (l *leader) patient(j *job) bool {
+	fetch := seconds(l.fetchSeconds(j.spec) * tuning.WarmPatience)
+	if j.due.IsZero() {
+		return l.n.now.Sub(j.at) < fetch
+	}
+	return l.n.now.Before(j.due.Add(-fetch)) || l.n.now.After(j.due)
+}
+
+// fetchSeconds is how long a job's image takes to fetch on the slowest type.
+func (l *leader) fetchSeconds(s *protocol.Job) float64 {
+	fetch := 0.0
+	for _, t := range l.n.types {
+		if t.Fits(s) && t.FetchGBPerS > 0 {
+			fetch = max(fetch, s.ImageGB/t.FetchGBPerS)
+		}
+	}
+	return fetch
+}
+
 // bar keeps the free machines of the zone where the gang lacks least from
 // jobs behind it in the queue.
 func (l *leader) bar(j *job) {
@@ -211,12 +250,7 @@
 	if l.evicting(j) {
 		return true
 	}
-	fetch := 0.0
-	for _, t := range l.n.types {
-		if t.Fits(j.spec) && t.FetchGBPerS > 0 {
-			fetch = max(fetch, j.spec.ImageGB/t.FetchGBPerS)
-		}
-	}
+	fetch := l.fetchSeconds(j.spec)
 	if fetch < tuning.WarmFetch || len(j.held) > 0 || l.n.now.Before(j.warmAt) || l.teamRoom(j) < len(j.tasks) {
 		return false
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -227,6 +227,9 @@
 	// WarmFetch is the fetch time, in seconds, from which a gang would rather
 	// take machines that have its image.
 	WarmFetch = 5.0
+	// WarmPatience is for how many times its fetch an array leaves machines
+	// without its image to others: it gains one fetch and may lose its deadline.
+	WarmPatience = 2.0
 	// WarmSave is the share of the fetch time that saving the work in the way
 	// may take.
 	WarmSave = 0.6
