--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -69,6 +69,8 @@
 	writing    bool         // in the transaction under way
 	gone       bool         // the final record is committed
 	guaranteed bool         // fits into its team's guarantee
+	entitled   bool         // may stop other teams' work for its guarantee
+	judged     bool         // whether it is entitled was first looked at
 	stopping   bool         // the gang's attempt is being ended
 	retryAt    time.Time
 	survivors  map[string]bool // machines of the broken attempt that are still there
--- a/internal/coordination/placement_test.go
+++ b/internal/coordination/placement_test.go
@@ -508,6 +508,34 @@
 	}
 }
 
+// TestGuaranteeInTurn: a job that was beyond its team's guarantee when it came,
+// and comes within it while more of its team waits, stops nobody's work: the
+// teams of an overloaded deployment would go on taking machines in turn.
+func TestGuaranteeInTurn(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	l.testMachine("i-1", "big", "a", false)
+	s := gangOf(4, 1)
+	s.Shape = protocol.ShapeArray
+	other := l.testJob(s)
+	l.placeArray(other, false)
+	for _, o := range other.copies {
+		o.committed, o.sent = true, true
+	}
+	s.Team, s.Tasks, s.Zone = "tight", 2, "b"
+	first := l.testJob(s) // takes the whole guarantee, waits for another zone
+	s.Zone = ""
+	l.testJob(s)
+	s.Tasks = 3
+	l.testJob(s)
+	l.schedule()
+	first.gone = true
+	delete(l.jobs, first.id)
+	l.schedule()
+	if n := stopping(other); n != 0 {
+		t.Errorf("%d tasks yield", n)
+	}
+}
+
 // TestBar: a gang that has waited past the time-out keeps the free machines of
 // the zone where it lacks least from smaller jobs behind it.
 func TestBar(t *testing.T) {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -52,6 +52,7 @@
 	}
 	queue := l.ordered()
 	l.withinGuarantee(queue)
+	l.entitle(queue)
 	var waiting []demand
 	for i, j := range queue {
 		if !j.spec.Gang() && (i == 0 || queue[i-1].spec.Gang() || queue[i-1].rank != j.rank) {
@@ -178,6 +179,27 @@
 	}
 }
 
+// entitle tells the jobs that other teams' work must yield to: those that were
+// within their team's guarantee when they came, and all of a team whose whole
+// backlog is. A job that only comes within it while others of its team wait
+// behind takes its turn: else the teams of an overloaded deployment would
+// take the same machines from each other again and again.
+func (l *leader) entitle(queue []*job) {
+	over := map[string]bool{}
+	for _, j := range queue {
+		if !j.cancelled && !j.guaranteed {
+			over[j.spec.Team] = true
+		}
+	}
+	for _, j := range queue {
+		if !j.judged {
+			j.judged = true
+			j.entitled = j.guaranteed
+		}
+		j.entitled = j.entitled || j.guaranteed && !over[j.spec.Team]
+	}
+}
+
 // beyond says whether a team uses more than its guarantee.
 func (t *team) beyond() bool {
 	return t.gpus > t.guaranteeGPUs+amountSlack || t.guaranteeGPUs == 0 && t.cpus > t.guaranteeCPUs+amountSlack
@@ -195,7 +217,7 @@
 	// what has a higher priority never yields to a lower one, though it might:
 	// the queue would give the machines back, and so in turn for ever.
 	t := l.teams[c.j.spec.Team]
-	return j.guaranteed && c.j.spec.Team != j.spec.Team && t != nil && t.beyond() && !c.j.guaranteed && c.j.rank <= j.rank
+	return j.entitled && c.j.spec.Team != j.spec.Team && t != nil && t.beyond() && !c.j.guaranteed && c.j.rank <= j.rank
 }
 
 // eviction is what must stop on one machine so that count tasks fit.
