--- a/internal/coordination/fences_test.go
+++ b/internal/coordination/fences_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/gappond/gappond/internal/bookkeeping"
 	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
 )
 
 // These tests hold one guard each that whole days break too rarely to show.
@@ -191,3 +192,66 @@
 		t.Errorf("cancelled %v at revision %d", j.cancelled, j.stamps[0])
 	}
 }
+
+// TestDeaf: a worker whose reports go on coming, but never show what the
+// answers told it, takes no new work; one that does not answer calls either is
+// returned, which proves its tasks gone. One that answers a call is kept.
+func TestDeaf(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		l := testLeader(time.Unix(1_800_000_000, 0))
+		m := l.testMachine("i-1", "big", "a", false)
+		j := l.testJob(gangOf(1, 1))
+		l.placeGang(j)
+		clear(j.dirty)
+		j.list()[0].committed = true
+		for range tuning.MissedAnswers + 1 {
+			l.testReport(m, l.n.claim.term)
+		}
+		if l.open(m) {
+			t.Fatal("takes new work")
+		}
+		for range 100 {
+			l.n.now = l.n.now.Add(tuning.WatchMachines)
+			l.n.claim.renewed, m.lastReport = l.n.now, l.n.now
+			l.n.out = nil
+			l.tickMachines()
+			for _, a := range l.n.out {
+				r, ok := a.(Request)
+				if !ok || r.To != ToWorker {
+					continue
+				}
+				if answers {
+					l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.Report{Machine: m.id, Address: "h:1", Type: m.typeName,
+						Zone: m.zone, Session: 1, Seq: m.seq + 1, Token: l.n.claim.term})})
+				} else {
+					l.n.handle(Response{ID: r.ID})
+				}
+			}
+		}
+		if m.deleting == answers || l.open(m) != answers {
+			t.Errorf("answers calls %v: returned %v, takes work %v", answers, m.deleting, l.open(m))
+		}
+		if l.forget(m.id); len(j.copies) != 0 {
+			t.Errorf("%d copies are left once it is gone", len(j.copies))
+		}
+	}
+}
+
+// TestLeaseRanOutThoughAnswered: a newer session of a worker that was answered
+// all the time shows that the answers do not reach it.
+func TestLeaseRanOutThoughAnswered(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	for range 6 {
+		l.n.now = l.n.now.Add(4 * time.Second)
+		l.testReport(m, l.n.claim.term)
+	}
+	if !l.open(m) {
+		t.Fatal("takes no work")
+	}
+	l.n.now = l.n.now.Add(4 * time.Second)
+	l.report(&protocol.Report{Machine: m.id, Address: "h:1", Type: m.typeName, Zone: m.zone, Session: 2, Seq: 1, Token: l.n.claim.term}, true)
+	if l.open(m) {
+		t.Error("takes new work")
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -327,8 +327,8 @@
 			continue
 		}
 		// What is booting, or has yet to report to a new leader, is not rented again.
-		booting := !m.reported && (m.session == 0 || now.Sub(l.since) < l.silence())
-		if !booting && !l.alive(m) {
+		booting := l.booting(m) || !m.reported && now.Sub(l.since) < l.silence()
+		if !booting && (!l.recent(m) || l.deaf(m) || !m.fresh && !m.recorded) {
 			continue
 		}
 		left := l.left(m)
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -133,9 +133,11 @@
 	for _, t := range n.cfg.Cluster.Teams {
 		l.teams[t.Name] = &team{guaranteeCPUs: t.CPUs, guaranteeGPUs: t.GPUs, maxCPUs: t.MaxCPUs, maxGPUs: t.MaxGPUs}
 	}
+	sound := true
 	n.mirror.Each(bookkeeping.MachinePrefix, func(e protocol.Entry) {
 		rec, ok := parse[bookkeeping.Rack](e.Value)
 		if !ok {
+			sound = false
 			n.log.Error("room record does not parse", "key", e.Key)
 			return
 		}
@@ -166,6 +168,14 @@
 		l.addTasks(j, c.Tasks)
 	})
 	slices.Sort(l.cleanup)
+	for _, m := range l.roster {
+		if m.rack == nil && sound {
+			// Places are committed only on machines that a room record has, and a
+			// machine leaves its record only after its deletion was answered: a
+			// predecessor has proven it gone.
+			l.forget(m.id)
+		}
+	}
 	// Jobs and machines come out of the mirror in no order; what follows must
 	// not depend on that.
 	for _, j := range l.ordered() {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -147,6 +147,7 @@
 	loadAt   time.Time
 	// when the state service last served this node, and when it was last asked
 	served, asked time.Time
+	silent        bool // it did not answer the last request
 
 	finals map[string]bookkeeping.Final
 	polls  []poll
@@ -306,12 +307,17 @@
 	if n.now.Sub(n.served) < tuning.AloneAfter {
 		return true
 	}
+	alone := len(n.peers) > 0
 	for name, p := range n.peers {
-		if n.reach(name) && p.status.StateOK {
+		if !n.reach(name) {
+			continue
+		}
+		alone = false
+		if p.status.StateOK {
 			return false
 		}
 	}
-	return true
+	return !alone // cut off from everybody: users should go elsewhere
 }
 
 // tickState asks the state service for something small when nothing else has
@@ -341,6 +347,7 @@
 	n.asked = n.now
 	n.calls.AllowN(n.now, 1) // counted in any case; users' requests look first
 	n.request(ToState, "", method, path, body, tuning.StateTimeout, func(status int, body []byte) {
+		n.silent = status == 0
 		if status != 0 && status != 503 {
 			n.served = n.now
 		}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -68,7 +68,7 @@
 
 // open says whether a machine takes new tasks at all.
 func (l *leader) open(m *machine) bool {
-	return m.recorded && !m.closed && !m.deleting && l.alive(m) && l.kind(m) != nil
+	return m.recorded && !l.deaf(m) && !m.closed && !m.deleting && l.alive(m) && l.kind(m) != nil
 }
 
 // allows says whether the job may use machines of this type, zone and kind.
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		r.zone = room.Zone
-		m.closed, m.recorded = m.closed || room.Closed, true
+		m.closed, m.recorded, m.loaded = m.closed || room.Closed, true, true
 		r.add(m, room)
 	}
 	l.racks = append(l.racks, r)
--- a/internal/coordination/rooms_test.go
+++ b/internal/coordination/rooms_test.go
@@ -60,3 +60,26 @@
 		t.Errorf("%d racks are left", len(next.racks))
 	}
 }
+
+// TestRecordedPlaceOfDeletedMachine: a machine leaves its room record only after
+// its deletion was answered, so a place on a machine that no record has is
+// proven gone; a new leader need not wait for the lease to lapse.
+func TestRecordedPlaceOfDeletedMachine(t *testing.T) {
+	for _, recorded := range []bool{true, false} {
+		n := testLeader(time.Unix(1_800_000_000, 0)).n
+		s := gangOf(1, 1)
+		s.ID, s.Priority = "run-000077", "normal"
+		entries := []protocol.Entry{{Key: bookkeeping.JobKey(s.ID), Stamp: 9, Value: bookkeeping.Encode(bookkeeping.Job{Spec: &s, Seq: 5, Attempt: 3, Chunk: 60,
+			Tasks: []bookkeeping.Task{{Index: 0, Attempt: 3, Machine: "i-1", Session: 1}}})}}
+		if recorded {
+			entries = append(entries, protocol.Entry{Key: bookkeeping.RackKey("r"), Stamp: 4,
+				Value: bookkeeping.Encode(bookkeeping.Rack{Machines: []bookkeeping.Room{{ID: "i-1", Address: "h:1", Type: "big", Zone: "a"}}})})
+		}
+		n.mirror.BeginLoad()
+		n.mirror.LoadPage(&protocol.Entries{Items: entries, Revision: 10})
+		n.takeOver()
+		if got := len(n.lead.jobs[s.ID].copies); (got == 1) != recorded {
+			t.Errorf("recorded %v: %d copies", recorded, got)
+		}
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -56,6 +56,10 @@
 		n.refuse(id, "starting")
 		return
 	}
+	if n.cutOff() {
+		n.refuse(id, "state service out of reach")
+		return
+	}
 	if e, ok := n.mirror.Get(bookkeeping.JobKey(j.ID)); ok {
 		n.addPoll(poll{id: id, job: j.ID, stamp: e.Stamp, short: true})
 		return
@@ -126,6 +130,10 @@
 		n.refuse(id, "starting")
 		return
 	}
+	if n.cutOff() {
+		n.refuse(id, "state service out of reach")
+		return
+	}
 	if e, ok := n.mirror.Get(bookkeeping.JobKey(job)); ok {
 		n.addPoll(poll{id: id, job: job, stamp: e.Stamp})
 		return
@@ -137,6 +145,12 @@
 	n.answerQuery(id, job, n.now.Add(tuning.UserDeadline))
 }
 
+// cutOff says whether requests to the state service hang: a user is better
+// told at once to come back, perhaps to another node.
+func (n *Node) cutOff() bool {
+	return n.silent && n.now.Sub(n.served) >= tuning.CutOffAfter
+}
+
 // shed turns a user's request away because too much is asked.
 func (n *Node) shed(id uint64) {
 	n.metrics.Sheds++
@@ -329,6 +343,10 @@
 		n.refuse(id, "starting")
 		return
 	}
+	if n.cutOff() {
+		n.refuse(id, "state service out of reach")
+		return
+	}
 	if !n.mayWrite() {
 		n.shed(id)
 		return
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -29,6 +29,7 @@
 	recorded  bool  // the record has it
 	closed    bool  // takes no further tasks, says the room record
 
+	loaded     bool      // known from a predecessor's record
 	reported   bool      // to this leader
 	fresh      bool      // the worker has shown this leader's token
 	session    uint64    // newest known
@@ -48,6 +49,8 @@
 	urgent   bool // in the leader's list of hurried machines
 	busy     bool // a direct order is under way
 	directAt time.Time
+	replied  bool // its last report was answered
+	missed   int  // answers and orders in a row that seem not to have reached it
 	probing  bool
 	probes   int
 	probeAt  time.Time
@@ -160,6 +163,10 @@
 	now := l.n.now
 	if r.Session > m.session {
 		m.pins = map[taskKey]bool{}
+		if m.fresh && now.Sub(m.answered) < seconds(l.n.cfg.Cluster.Workers.LeaseS) {
+			// Its lease ran out although its reports were answered all the time.
+			m.missed = tuning.MissedAnswers
+		}
 	}
 	m.session, m.seq = r.Session, r.Seq
 	for _, c := range sortedCopies(m) {
@@ -170,14 +177,23 @@
 	if !m.reported || m.lapsed {
 		m.reported, m.lapsed = true, false
 		m.idleSince = now
+	}
+	if fresh := r.Token == l.n.claim.term; fresh != m.fresh {
+		m.fresh = fresh
 		l.plan = true
 	}
-	m.fresh = r.Token == l.n.claim.term
-	m.lastReport, m.probes = now, 0
+	m.lastReport = now
 	if answered {
 		m.answered = now
+	} else {
+		m.missed = 0 // it has answered a call
 	}
-	if m.rack == nil {
+	if !l.deaf(m) {
+		m.probes = 0
+	}
+	if m.rack == nil && m.fresh {
+		// One that has not shown this leader's token may be gone: a copy of an
+		// old report can come at any time.
 		l.writeRoom(m)
 	}
 	if r.NoticeS != nil && !m.noticed {
@@ -208,9 +224,20 @@
 		}
 	}
 	if answered {
+		lost, shown := m.replied && !m.fresh, false
 		for _, c := range m.copies {
-			c.inReply = false
+			if c.inReply {
+				_, there := seen[taskKey{c.j.id, c.key.index, c.key.attempt}]
+				lost, shown = lost || !there, shown || there
+				c.inReply = false
+			}
 		}
+		if lost {
+			m.missed++
+		} else if shown {
+			m.missed = 0
+		}
+		m.replied = true
 		commands = l.orders(m, true)
 	}
 	return commands, true
@@ -437,7 +464,7 @@
 		if m.deleting || l.machines[m.id] != m || !m.reported && m.session == 0 {
 			continue
 		}
-		if m.busy || m.address == "" || now.Before(m.directAt) || m.reported && !l.alive(m) {
+		if m.busy || m.address == "" || now.Before(m.directAt) || m.reported && !l.recent(m) {
 			l.hurry(m)
 			continue
 		}
@@ -480,6 +507,7 @@
 			}
 		}
 		if status != 200 && status != 409 {
+			m.missed = max(m.missed, 1)
 			m.directAt = l.n.now.Add(tuning.StopResend)
 			if len(m.copies) > 0 || !m.reported {
 				l.hurry(m)
@@ -508,11 +536,35 @@
 	l.report(r, false)
 }
 
-// alive says whether the worker was heard of lately.
-func (l *leader) alive(m *machine) bool {
+// recent says whether a report of the worker came lately.
+func (l *leader) recent(m *machine) bool {
 	return m.reported && !m.lapsed && l.n.now.Sub(m.lastReport) < l.silence()
 }
 
+// alive says whether the worker is surely there: it has shown this leader's
+// token lately. What has not may be a copy of an old report.
+func (l *leader) alive(m *machine) bool { return m.fresh && l.recent(m) }
+
+// booting says whether a machine that never reported is still expected to. One
+// that a predecessor recorded may have been returned since; unless the machine
+// list shows it, it is not waited for.
+func (l *leader) booting(m *machine) bool {
+	if m.reported || m.session > 0 {
+		return false
+	}
+	if !m.loaded || m.phase == protocol.MachineBooting {
+		return true
+	}
+	lag := 2*seconds(l.n.cfg.Cluster.Cloud.ListLagS) + tuning.ListEvery
+	return l.n.now.Sub(l.since) < l.silence()+lag
+}
+
+// deaf says whether reports of a worker come, but answers and orders do not
+// reach it: what an answer told it does not show in its next report, or its
+// lease ran out though it was answered. Its lease runs out again and again, so
+// it takes no work; if it does not answer a call either, it is returned.
+func (l *leader) deaf(m *machine) bool { return m.missed >= tuning.MissedAnswers }
+
 // silence is how long a worker may be silent before it is probed.
 func (l *leader) silence() time.Duration {
 	return seconds(l.n.cfg.Cluster.Workers.ReportS * tuning.SilentReports)
@@ -536,7 +588,7 @@
 	for _, m := range l.machines {
 		if m.reported || m.session > 0 {
 			total++
-			if !l.alive(m) && now.Sub(m.lastReport) > l.silence() && now.Sub(l.since) > l.silence() {
+			if l.deaf(m) || !l.recent(m) && now.Sub(m.lastReport) > l.silence() && now.Sub(l.since) > l.silence() {
 				silent++
 			}
 		}
@@ -546,10 +598,10 @@
 		if l.n.lead != l {
 			return
 		}
-		if !m.reported && m.session == 0 || l.alive(m) || now.Sub(l.since) < l.silence() {
+		if l.booting(m) || l.recent(m) && !l.deaf(m) || now.Sub(l.since) < l.silence() {
 			continue
 		}
-		if !m.lapsed && now.After(l.lapseAt(m)) {
+		if !m.lapsed && !l.recent(m) && now.After(l.lapseAt(m)) {
 			m.lapsed = true
 			l.n.log.Info("lease lapsed", "machine", m.id)
 			for _, c := range sortedCopies(m) {
@@ -568,7 +620,7 @@
 		if len(l.n.links()) < len(l.n.cfg.Siblings) {
 			patience += tuning.CutPatience
 		}
-		if m.probes >= tuning.ProbesToDelete && now.Sub(m.lastReport) > patience && (!network || m.lapsed) && !m.deleting {
+		if m.probes >= tuning.ProbesToDelete && (l.deaf(m) || now.Sub(m.lastReport) > patience) && (!network || m.lapsed) && !m.deleting {
 			l.delete(m, "silent")
 		}
 	}
--- a/internal/simulation/grown_test.go
+++ b/internal/simulation/grown_test.go
@@ -47,14 +47,7 @@
 func TestGrown(t *testing.T) {
 	w := NewShaped(1, logs(), grown())
 	w.crowd(200, 120*time.Second)
-	w.waitFor(t, 400*time.Second, "all is done", func() bool {
-		for _, u := range w.users {
-			if !u.over {
-				return false
-			}
-		}
-		return true
-	})
+	w.finish(t, 400*time.Second)
 	t.Logf("%s: %d requests, %d changes, %d bytes", w.clock(), w.state.requests, w.state.changed, w.state.bytes)
 	if n := w.state.refused; n > 20 {
 		t.Errorf("the state service refuses %d requests beyond its budget", n)
@@ -62,5 +55,4 @@
 	if limit := 40 * len(w.users); w.state.changed > limit {
 		t.Errorf("%d changes for %d jobs", w.state.changed, len(w.users))
 	}
-	w.check(t)
 }
--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -27,6 +28,7 @@
 	gangs     map[uint64]*gang
 	mistaken  bool
 	cancelled time.Time // when its user was told
+	began     time.Time // when it first ran, a gang as a whole
 }
 
 func newRules(w *World) *rules {
@@ -92,7 +94,9 @@
 	w        *World
 	j        *simJob
 	accepted bool
-	phase    string // the newest answer
+	since    time.Time // of the first attempt to submit
+	answered time.Time // of the newest answer about the job
+	phase    string    // the newest answer
 	cancelAt time.Duration
 	asked    bool // has asked to cancel
 	over     bool
@@ -106,6 +110,7 @@
 	w.users = append(w.users, u)
 	w.after(after, func() {
 		w.rules.jobs[spec.ID] = j
+		u.since = w.Now
 		u.try()
 		if cancel > 0 {
 			w.after(cancel, u.cancel)
@@ -143,6 +148,7 @@
 
 // hear checks an answer against what this user was told before.
 func (u *user) hear(body []byte) {
+	u.answered = u.w.Now
 	var a protocol.Accepted
 	decode(body, &a)
 	final := func(p string) bool { return p == protocol.PhaseDone || p == protocol.PhaseCancelled }
@@ -182,8 +188,12 @@
 		switch {
 		case status == 200 && u.phase == before:
 			u.hear(body)
+		case status == 200:
+			u.answered = u.w.Now
 		case status == 404:
 			u.w.rules.broken("forgotten", "%s is unknown", u.j.spec.ID)
+		default:
+			u.unanswered()
 		}
 		if !u.over || u.w.rng.IntN(3) == 0 {
 			u.w.after(5*time.Second, u.poll)
@@ -191,6 +201,60 @@
 	})
 }
 
+// unanswered checks that no job goes without an answer for long once all
+// troubles are over, however other jobs fare.
+func (u *user) unanswered() {
+	from := u.w.calm
+	if u.answered.After(from) {
+		from = u.answered
+	}
+	if !u.w.calm.IsZero() && u.w.Now.Sub(from) > forgottenAfter {
+		u.w.rules.broken("forgotten", "no question about %s is answered for %v", u.j.spec.ID, u.w.Now.Sub(from))
+	}
+}
+
+// Bounds of the rules about jobs.
+const (
+	forgottenAfter = 75 * time.Second
+	largestWithin  = 4 * time.Minute
+)
+
+// served checks at the end of a day that at least half of every class, of every
+// team and of every class's largest jobs was served, and that the largest
+// began within a while.
+func (w *World) served(within time.Duration) {
+	largest := map[string]int{}
+	var counted []*user
+	for _, u := range w.users {
+		if !u.asked && !u.j.mistaken && !u.since.IsZero() {
+			counted = append(counted, u)
+			largest[u.j.spec.Class] = max(largest[u.j.spec.Class], u.j.spec.Tasks)
+		}
+	}
+	all, done := map[string]int{}, map[string]int{}
+	for _, u := range counted {
+		s := u.j.spec
+		groups := []string{"class " + s.Class, "team " + s.Team}
+		if s.Tasks == largest[s.Class] {
+			groups = append(groups, "the largest of "+s.Class)
+			if late := cmp.Or(u.j.began, w.Now).Sub(u.since); late > within {
+				w.rules.broken("late", "%s of %d tasks began after %v", s.ID, s.Tasks, late)
+			}
+		}
+		for _, g := range groups {
+			all[g]++
+			if u.phase == protocol.PhaseDone {
+				done[g]++
+			}
+		}
+	}
+	for g, n := range all {
+		if 2*done[g] < n {
+			w.rules.broken("unserved", "%d of %d of %s", done[g], n, g)
+		}
+	}
+}
+
 func (u *user) cancel() {
 	if !u.accepted || u.phase == protocol.PhaseDone {
 		return
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -15,12 +15,12 @@
 // load makes users with jobs of every shape.
 func (w *World) load(jobs int, span time.Duration) {
 	for i := range jobs {
-		s := &protocol.Job{ID: fmt.Sprintf("run-%06d", 100+i*7), Class: "c", Team: w.shape.Teams[w.rng.IntN(len(w.shape.Teams))].Name,
+		s := &protocol.Job{ID: fmt.Sprintf("run-%06d", 100+i*7), Class: "array", Team: w.shape.Teams[w.rng.IntN(len(w.shape.Teams))].Name,
 			Shape: protocol.ShapeArray, Priority: []string{"idle", "normal", "high"}[w.rng.IntN(3)], Tasks: 1 + w.rng.IntN(6),
 			CPUs: 4, GPUs: 1, MemoryGB: 20, Image: fmt.Sprintf("img-%d", w.rng.IntN(3)), ImageGB: 2 + 4*w.rng.Float64(),
 			Spot: w.rng.IntN(2) == 0, EstimateS: 20, CheckpointS: float64(w.rng.IntN(2)) * 10, SaveS: 2}
 		if w.rng.IntN(2) == 0 {
-			s.Shape, s.Tasks = protocol.ShapeGang, 1+w.rng.IntN(4)
+			s.Class, s.Shape, s.Tasks = "gang", protocol.ShapeGang, 1+w.rng.IntN(4)
 			s.GPUs = float64(1 + w.rng.IntN(2))
 		}
 		switch w.rng.IntN(4) {
@@ -109,6 +109,31 @@
 			}
 			return "machine sick"
 		},
+		func() string {
+			if someone != nil {
+				w.deafen(someone.h.ID, 2*span, hold)
+			}
+			return fmt.Sprint("machine deaf, hold ", hold)
+		},
+		func() string {
+			w.copies = w.between(2*time.Second, 90*time.Second)
+			w.after(span, func() { w.copies = 0 })
+			return "copies of reports late"
+		},
+		func() string { w.isolate(node, span, hold); return fmt.Sprint("isolated ", node.name, " hold ", hold) },
+		func() string {
+			for i := range 3 {
+				w.after(time.Duration(i)*w.between(100*time.Millisecond, 2*time.Second), func() {
+					w.nodes[w.rng.IntN(len(w.nodes))].crash(w.between(10*time.Millisecond, 400*time.Millisecond))
+				})
+			}
+			return "back at once"
+		},
+		func() string {
+			w.state.slow = w.between(50*time.Millisecond, 400*time.Millisecond)
+			w.after(span, func() { w.state.slow = 0 })
+			return "state slow"
+		},
 		func() string {
 			if someone != nil && someone.h.Spot {
 				n := 20.0
@@ -158,7 +183,8 @@
 		w.log.Info("trouble", "what", what)
 		history = append(history, what)
 	}
-	w.Run(60 * time.Second)
+	w.Run(90 * time.Second)
+	w.calm = w.Now
 	for _, k := range w.workers {
 		k.sick = false
 	}
@@ -179,6 +205,7 @@
 			w.rules.broken("liveness", "%s %s of %d tasks is still %q: done %v", u.j.spec.ID, u.j.spec.Shape, u.j.spec.Tasks, u.phase, u.j.done)
 		}
 	}
+	w.served(2 * largestWithin) // with a trouble every few seconds for four minutes
 	if w.rules.started == 0 {
 		t.Error("nothing ran")
 	}
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -141,6 +141,9 @@
 	sent, session := w.Now, k.session
 	c := w.nodes[k.node]
 	body := encode(k.report())
+	if w.copies > 0 && w.rng.IntN(4) == 0 {
+		w.after(w.between(time.Second, w.copies), func() { w.copyReport(w.nodes[w.rng.IntN(len(w.nodes))], body) })
+	}
 	w.call(k.h.ID, c.name, 4*time.Second, func(answer func(int, []byte)) {
 		r, err := protocol.ParseReport(body)
 		if err != nil {
@@ -185,6 +188,16 @@
 	})
 }
 
+// copyReport delivers a copy of an old report to a controller; nobody reads the
+// answer.
+func (w *World) copyReport(c *controller, body []byte) {
+	r, err := protocol.ParseReport(body)
+	if err != nil {
+		panic(err)
+	}
+	c.ask(func(id uint64) coordination.Event { return coordination.WorkerReport{ID: id, Report: r} }, func(int, []byte) {})
+}
+
 func (k *worker) accept(token uint64) bool {
 	if token < k.token {
 		return false
@@ -321,6 +334,7 @@
 	}
 	if !t.job.Gang() {
 		t.state, t.began = protocol.TaskRunning, w.Now
+		j.begin(w.Now)
 		t.k.wait(secs(max(0, j.run-j.progress[t.index])), t, func() {
 			if t.state == protocol.TaskRunning {
 				j.done[t.index] = true
@@ -358,6 +372,7 @@
 
 func (g *gang) start(w *World, j *simJob) {
 	g.running, g.began = true, w.Now
+	j.begin(w.Now)
 	for _, t := range g.list() {
 		t.state, t.k.changed = protocol.TaskRunning, true
 	}
@@ -399,6 +414,12 @@
 	}
 }
 
+func (j *simJob) begin(now time.Time) {
+	if j.began.IsZero() {
+		j.began = now
+	}
+}
+
 func (t *workerTask) halt(grace float64) {
 	w := t.k.w
 	if t.state == protocol.TaskExited || t.state == protocol.TaskSaving && grace > 0 {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -95,6 +96,8 @@
 	workers map[string]*worker
 	users   []*user
 	rules   *rules
+	calm    time.Time     // when all troubles were over
+	copies  time.Duration // for so long copies of reports may be late, 0: there are none
 }
 
 // New makes a small world of three controllers.
@@ -193,16 +196,30 @@
 func (w *World) interrupt(d time.Duration, hold bool, match func(a, b string) bool) {
 	c := &cut{hold: hold, match: func(a, b string) bool { return match(a, b) || match(b, a) }}
 	w.cuts = append(w.cuts, c)
-	w.after(d, func() {
-		for i, o := range w.cuts {
-			if o == c {
-				w.cuts = append(w.cuts[:i:i], w.cuts[i+1:]...)
-				break
-			}
-		}
-		for _, deliver := range c.held {
-			deliver()
-		}
+	w.after(d, func() { w.mend(c) })
+}
+
+// deafen lets nothing through to a machine for a while, though what it sends
+// arrives.
+func (w *World) deafen(id string, d time.Duration, hold bool) {
+	c := &cut{hold: hold, match: func(_, b string) bool { return b == id }}
+	w.cuts = append(w.cuts, c)
+	w.after(d, func() { w.mend(c) })
+}
+
+// mend ends a cut; what was held is delivered in order.
+func (w *World) mend(c *cut) {
+	w.cuts = slices.DeleteFunc(slices.Clone(w.cuts), func(o *cut) bool { return o == c })
+	for _, deliver := range c.held {
+		deliver()
+	}
+}
+
+// isolate cuts a controller off from the state service and the other
+// controllers, but not from its workers.
+func (w *World) isolate(c *controller, d time.Duration, hold bool) {
+	w.interrupt(d, hold, func(a, b string) bool {
+		return a == c.name && (b == "state" || slices.ContainsFunc(w.nodes, func(o *controller) bool { return o.name == b }))
 	})
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -99,6 +99,9 @@
 	// ProbesToDelete is the number of unanswered probes after which a silent
 	// machine is deleted.
 	ProbesToDelete = 2
+	// MissedAnswers is how many answers in a row must have shown no effect for a
+	// worker to count as deaf: one may be lost or late.
+	MissedAnswers = 2
 	// CutPatience is how much longer a worker may be silent while a sibling is
 	// out of reach: it tries the leader, waits 4 s, and comes to another node.
 	CutPatience = 9 * time.Second
@@ -179,6 +182,9 @@
 	// AloneAfter is how long a node may miss the state service, while a sibling
 	// reaches it, before it asks to be spared users' requests.
 	AloneAfter = 5 * time.Second
+	// CutOffAfter is how long requests to the state service must have gone
+	// unanswered for users to be turned away at once: two time-outs.
+	CutOffAfter = 3 * time.Second
 	// StateProbe is how long a node asks the state service for nothing before
 	// it asks just to know whether it is served.
 	StateProbe = time.Second
