--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -260,7 +260,7 @@
 		e.m.keep(j, l.n.now.Add(tuning.HoldFor))
 		for _, c := range e.victims {
 			l.n.metrics.Preemptions++
-			l.preempt(c)
+			l.makeWay(c)
 		}
 	}
 }
@@ -291,7 +291,7 @@
 	for _, e := range list {
 		cost += e.cost
 		for _, c := range e.victims {
-			if c.j.spec.CheckpointS > 0 && c.j.spec.SaveS > fetch*tuning.WarmSave {
+			if savingPays(c.j.spec) && c.j.spec.SaveS > fetch*tuning.WarmSave {
 				return false
 			}
 		}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -337,11 +337,29 @@
 }
 
 // preempt stops a copy in good order; a gang stops as a whole.
-func (l *leader) preempt(c *taskCopy) {
+func (l *leader) preempt(c *taskCopy) { l.endCopy(c, c.j.spec.SaveS+tuning.StopGrace) }
+
+// makeWay stops a copy for a job that waits: in good order if saving is worth
+// that job's wait.
+func (l *leader) makeWay(c *taskCopy) {
+	if savingPays(c.j.spec) {
+		l.preempt(c)
+	} else {
+		l.endCopy(c, 0)
+	}
+}
+
+// savingPays says whether a task that yields should save first. Saving takes
+// its machine's time and the waiting job's; without it half of the interval
+// between two checkpoints is lost, about.
+func savingPays(s *protocol.Job) bool {
+	return s.CheckpointS > 0 && (s.Gang() || s.CheckpointS/2 > tuning.SavePays*s.SaveS)
+}
+
+func (l *leader) endCopy(c *taskCopy, grace float64) {
 	if c.j.copies[c.key] != c {
 		return // went with another task of its gang
 	}
-	grace := c.j.spec.SaveS + tuning.StopGrace
 	if c.j.spec.Gang() {
 		if !c.j.stopping {
 			l.endGang(c.j, grace)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -239,6 +239,9 @@
 	// WarmSave is the share of the fetch time that saving the work in the way
 	// may take.
 	WarmSave = 0.6
+	// SavePays is how many times the saving time the work at stake must be for a
+	// task that yields to save: the job that waits pays for the saving too.
+	SavePays = 2.0
 	// WarmLoss is how much more work, in GPU seconds, may be lost than the
 	// gang's GPUs would idle during the fetch.
 	WarmLoss = 2.0
