--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,8 +39,16 @@
 	Class   string  `toml:"class"`
 	WithinS float64 `toml:"within_s"`
 	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"` // of a job's own deadline
 }
 
+// Kinds of objectives that a job's turn depends on.
+const (
+	ObjectiveWait     = "wait"
+	ObjectiveFinished = "finished"
+	ObjectiveDeadline = "deadline"
+)
+
 // Workers are the timings that all workers share.
 type Workers struct {
 	ReportS   float64 `toml:"report_s"`
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/config"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
 )
@@ -54,8 +55,9 @@
 	rank      protocol.Rank
 	seq       uint64
 	at        time.Time
-	due       time.Time // an array must start by then to meet its deadline
-	attempt   uint64    // the gang's epoch
+	startBy   []time.Time // an array must start by then to meet its deadline and its class's aims
+	begun     bool        // a task of it has had a place
+	attempt   uint64      // the gang's epoch
 	cancelled bool
 	chunk     int
 	tasks     []task
@@ -202,16 +204,56 @@
 }
 
 // turn is a job's place among those of its priority: the moment it came or,
-// for an array with a deadline, the moment by which it must start to meet it.
-// An array that is late already can wait for those that are not.
+// for an array, the moment by which it must start to meet the next of its aims.
+// One that is late for an aim can wait for those that are not; but none waits
+// for ever, and one that nothing was done for in a long time goes first.
 func (j *job) turn(now time.Time) time.Time {
-	switch {
-	case j.due.IsZero():
+	if len(j.startBy) == 0 || j.overdue(now) {
 		return j.at
-	case now.After(j.due):
-		return j.due.Add(tuning.LateTurn)
 	}
-	return j.due
+	for missed, at := range j.startBy {
+		if !now.After(at) {
+			return at.Add(time.Duration(missed) * tuning.LateTurn)
+		}
+	}
+	return j.at.Add(time.Duration(len(j.startBy)) * tuning.LateTurn)
+}
+
+// overdue says whether an array has waited so long for its first place that it
+// goes first: with one task, then it takes its turn again.
+func (j *job) overdue(now time.Time) bool {
+	return !j.begun && !j.spec.Gang() && now.Sub(j.at) > tuning.BeginWithin
+}
+
+// startTimes lists the moments by which an array must start to meet its own
+// deadline and the aims that the settings give for its class, the next first.
+func (l *leader) startTimes(j *job) []time.Time {
+	s := j.spec
+	if s.Gang() {
+		return nil // gangs go in order of arrival
+	}
+	var list []time.Time
+	add := func(after float64) { list = append(list, j.at.Add(seconds(after))) }
+	deadline := false
+	for _, o := range l.n.cfg.Cluster.Objectives {
+		if o.Class != s.Class {
+			continue
+		}
+		switch {
+		case o.Kind == config.ObjectiveWait:
+			add(o.WithinS)
+		case o.Kind == config.ObjectiveFinished:
+			add(o.WithinS - s.EstimateS)
+		case o.Kind == config.ObjectiveDeadline && s.DeadlineS > 0:
+			add(s.DeadlineS*max(1, o.Times) - s.EstimateS)
+			deadline = true
+		}
+	}
+	if s.DeadlineS > 0 && !deadline {
+		add(s.DeadlineS - s.EstimateS)
+	}
+	slices.SortFunc(list, time.Time.Compare)
+	return slices.Compact(list)
 }
 
 func (l *leader) addJob(rec *bookkeeping.Job, stamp uint64) *job {
@@ -229,9 +271,7 @@
 		j.seq = stamp // never written since its submission
 	}
 	j.stamps[0] = stamp
-	if s.DeadlineS > 0 && !s.Gang() {
-		j.due = j.at.Add(seconds(s.DeadlineS - s.EstimateS))
-	}
+	j.startBy = l.startTimes(j)
 	l.n.log.Debug("job", "job", j.id, "class", s.Class, "shape", s.Shape, "tasks", s.Tasks, "gpus", s.GPUs, "team", s.Team, "estimate", s.EstimateS, "deadline", s.DeadlineS, "age", l.n.now.Sub(j.at).Seconds())
 	l.jobs[j.id] = j
 	l.lastJob = l.n.now
@@ -249,6 +289,7 @@
 		}
 		jt := &j.tasks[t.Index]
 		jt.attempt = t.Attempt
+		j.begun = true
 		if t.Done && !jt.done {
 			jt.done = true
 			j.done++
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -344,6 +344,9 @@
 // still wait. warm: only on machines that have its image.
 func (l *leader) placeArray(j *job, warm bool) (waiting int) {
 	quota := l.teamRoom(j)
+	if j.overdue(l.n.now) {
+		quota = min(quota, 1)
+	}
 	var list []site
 	var limit map[string]int
 	var only string
@@ -399,7 +402,7 @@
 func (l *leader) assign(j *job, index int, attempt uint64, m *machine) {
 	t := &j.tasks[index]
 	c := l.addCopy(j, index, attempt, m, m.session)
-	t.attempt, t.active = attempt, c
+	t.attempt, t.active, j.begun = attempt, c, true
 	l.n.log.Debug("task placed", "job", j.id, "task", index, "attempt", attempt, "machine", m.id)
 	if m.hold == j {
 		m.release()
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -117,10 +117,12 @@
 // patient says whether an array can wait for machines that have its image.
 func (l *leader) patient(j *job) bool {
 	fetch := seconds(l.fetchSeconds(j.spec) * tuning.WarmPatience)
-	if j.due.IsZero() {
-		return l.n.now.Sub(j.at) < fetch
+	for _, at := range j.startBy {
+		if !l.n.now.After(at) {
+			return l.n.now.Before(at.Add(-fetch))
+		}
 	}
-	return l.n.now.Before(j.due.Add(-fetch)) || l.n.now.After(j.due)
+	return len(j.startBy) > 0 || l.n.now.Sub(j.at) < fetch
 }
 
 // fetchSeconds is how long a job's image takes to fetch on the slowest type.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -245,8 +245,12 @@
 	// WarmLoss is how much more work, in GPU seconds, may be lost than the
 	// gang's GPUs would idle during the fetch.
 	WarmLoss = 2.0
-	// LateTurn is how far back an array goes in the queue once it is too late
-	// to meet its deadline.
+	// BeginWithin is how long an array may wait for its first place before it
+	// goes first: users expect the largest to begin within four minutes, and
+	// renting takes up to one.
+	BeginWithin = 150 * time.Second
+	// LateTurn is how far back an array goes in the queue for every aim that it
+	// is too late for.
 	LateTurn = 5 * time.Minute
 	// HoldFor is how long room freed by preemption is held for its job.
 	HoldFor = 25 * time.Second
