--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -133,7 +133,8 @@
 	out     []Action
 	nextID  uint64
 	pending map[uint64]func(status int, body []byte)
-	writes  *rate.Limiter // puts and deletes
+	writes  *rate.Limiter // puts and deletes: decisions at the leader, mail
+	admits  *rate.Limiter // puts for users: submissions and cancellations
 	calls   *rate.Limiter // requests to the state service
 	metrics Metrics
 
@@ -189,21 +190,22 @@
 }
 
 // setShares divides the state service's budgets: most of the writes for the
-// leader, the rest for submissions at the others; requests in equal parts.
+// leader's decisions, a part for the users of every node, the rest for mail;
+// requests in equal parts.
 func (n *Node) setShares() {
 	nodes := float64(len(n.cfg.Siblings) + 1)
-	share := 1.0
-	if nodes > 1 {
-		share = (1 - tuning.LeaderShare) / (nodes - 1)
-		if n.lead != nil {
-			share = tuning.LeaderShare
-		}
+	budget := func(limit float64, burst int) *rate.Limiter {
+		return rate.NewLimiter(rate.Limit(limit), max(burst, int(limit)))
+	}
+	state := n.cfg.Cluster.State
+	share := (1 - tuning.LeaderShare - tuning.UserShare) / nodes
+	if n.lead != nil {
+		share = tuning.LeaderShare
 	}
-	limit := n.cfg.Cluster.State.WriteRPS * share
-	n.writes = rate.NewLimiter(rate.Limit(limit), max(n.cfg.Cluster.State.TxnOps, int(limit)))
+	n.writes = budget(state.WriteRPS*share, state.TxnOps)
 	if n.calls == nil {
-		limit = n.cfg.Cluster.State.RPS * tuning.CallShare / nodes
-		n.calls = rate.NewLimiter(rate.Limit(limit), max(1, int(limit)))
+		n.calls = budget(state.RPS*tuning.CallShare/nodes, 1)
+		n.admits = budget(state.WriteRPS*tuning.UserShare/nodes, state.TxnOps)
 	}
 }
 
@@ -213,14 +215,8 @@
 	return n.calls.TokensAt(n.now) >= 1+float64(n.calls.Burst())*tuning.UserReserve
 }
 
-// mayWrite says the same of a user's write; decisions that wait come first.
-func (n *Node) mayWrite() bool {
-	need := 1.0
-	if l := n.lead; l != nil && (l.inFlight != nil || len(l.dirty) > 0) {
-		need += float64(n.writes.Burst()) * tuning.UserReserve
-	}
-	return n.mayRead() && n.writes.TokensAt(n.now) >= need
-}
+// mayWrite says the same of a user's write, and takes it from the budget.
+func (n *Node) mayWrite() bool { return n.mayRead() && n.admits.AllowN(n.now, 1) }
 
 // Metrics are the node's counters, read after a step.
 type Metrics struct {
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -227,6 +227,7 @@
 	m       *machine
 	count   int
 	victims []*taskCopy
+	rank    protocol.Rank // the highest of the victims'
 	cost    float64
 }
 
@@ -313,7 +314,7 @@
 	bestCost := 0.0
 	consider := func(list []eviction, need int) {
 		slices.SortStableFunc(list, func(a, b eviction) int {
-			return cmp.Or(cmp.Compare(a.cost/float64(a.count), b.cost/float64(b.count)), cmp.Compare(b.count, a.count))
+			return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.cost/float64(a.count), b.cost/float64(b.count)), cmp.Compare(b.count, a.count))
 		})
 		var taken []eviction
 		cost := 0.0
@@ -393,6 +394,7 @@
 	}
 	for _, c := range e.victims {
 		e.cost += 1 + l.loss(c)
+		e.rank = max(e.rank, c.j.rank)
 	}
 	if t := l.kind(m); t != nil && t.FetchGBPerS > 0 && !m.hasImage(j.spec.Image) {
 		e.cost += float64(e.count) * max(1, j.spec.GPUs) * j.spec.ImageGB / t.FetchGBPerS
@@ -401,9 +403,19 @@
 }
 
 // loss is about how much work is lost when a copy is stopped, in GPU seconds.
+// With one task of a gang all stop, save, and gather again.
 func (l *leader) loss(c *taskCopy) float64 {
-	if c.running.IsZero() || c.j.spec.CheckpointS > 0 {
+	s := c.j.spec
+	gpus := max(1, s.GPUs)
+	switch {
+	case s.Gang() && s.CheckpointS > 0:
+		return (s.SaveS + tuning.GangRestart) * gpus * float64(s.Tasks)
+	case c.running.IsZero():
 		return 0
+	case s.Gang():
+		return l.n.now.Sub(c.running).Seconds() * gpus * float64(s.Tasks)
+	case s.CheckpointS > 0:
+		return min(s.SaveS, s.CheckpointS/2) * gpus
 	}
-	return l.n.now.Sub(c.running).Seconds() * max(1, c.j.spec.GPUs)
+	return l.n.now.Sub(c.running).Seconds() * gpus
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -77,14 +77,11 @@
 		return
 	}
 	if !n.mayWrite() {
-		// Decisions have the leader's share of the writes; the siblings have
-		// one for submissions.
 		if !n.sendOn(id, submission(j)) {
 			n.shed(id)
 		}
 		return
 	}
-	n.writes.AllowN(n.now, 1)
 	rec := bookkeeping.Job{Writer: n.unique(), Spec: j, AtMs: n.now.UnixMilli(), Chunk: bookkeeping.ChunkSize(n.cfg.Cluster.State.ValueKB)}
 	txn := bookkeeping.Encode(protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}, {Key: bookkeeping.FinalKey(j.ID)}},
@@ -351,7 +348,6 @@
 		n.shed(id)
 		return
 	}
-	n.writes.AllowN(n.now, 1)
 	deadline := n.now.Add(tuning.UserDeadline)
 	if e, ok := n.mirror.Get(bookkeeping.JobKey(job)); ok {
 		n.cancelRecord(id, job, &e, deadline)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -62,8 +62,11 @@
 	// submissions after 5 s.
 	UserDeadline = 1800 * time.Millisecond
 	// LeaderShare is the part of the state service's write budget that the
-	// leader uses; the siblings share the rest for submissions.
-	LeaderShare = 0.6
+	// leader's decisions use.
+	LeaderShare = 0.65
+	// UserShare is the part that users' submissions and cancellations use, in
+	// equal parts at every node. What is left is for mail.
+	UserShare = 0.3
 	// CallShare is the part of the state service's request budget that the nodes
 	// use together; the rest absorbs watches and uneven clocks.
 	CallShare = 0.8
@@ -242,6 +245,9 @@
 	// SavePays is how many times the saving time the work at stake must be for a
 	// task that yields to save: the job that waits pays for the saving too.
 	SavePays = 2.0
+	// GangRestart is how long, in seconds, a gang that yields takes to gather
+	// again: a new place, perhaps a fetch, and its slowest task.
+	GangRestart = 10.0
 	// WarmLoss is how much more work, in GPU seconds, may be lost than the
 	// gang's GPUs would idle during the fetch.
 	WarmLoss = 2.0
