--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -137,7 +137,7 @@
 }
 
 // bar keeps the free machines of the zone where the gang lacks least from
-// jobs behind it in the queue.
+// jobs behind it in the queue, no more of them than it needs.
 func (l *leader) bar(j *job) {
 	var best []site
 	count := 0
@@ -151,7 +151,7 @@
 			best, count = list, n
 		}
 	}
-	for _, s := range best {
+	for _, s := range fill(best, len(j.tasks)) {
 		if s.m.hold == nil {
 			s.m.keep(j, l.n.now.Add(2*tuning.PlanIdle))
 		}
@@ -359,10 +359,24 @@
 	return best
 }
 
+// yields says whether anything on a machine may be stopped for a job or is on
+// its way out.
+func (l *leader) yields(m *machine, j *job) bool {
+	for _, c := range m.copies {
+		if c.stop || l.mayStop(c, j) {
+			return true
+		}
+	}
+	return false
+}
+
 // evict works out what to stop on a machine so that up to count tasks fit:
 // the lowest priority first, then what loses least.
 func (l *leader) evict(j *job, m *machine, count int) eviction {
 	left := l.left(m)
+	if left.holds(j.spec, 1) == 0 && !l.yields(m, j) {
+		return eviction{m: m} // most machines: nothing is sorted for them
+	}
 	var can []*taskCopy
 	for _, c := range sortedCopies(m) {
 		if c.stop {
