Packing empties one machine in twenty at once; calls to workers bounded by the sockets

A new leader's calls to all workers with tasks no longer need more sockets than there are beside the reports.

--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -149,9 +150,10 @@
 	return true
 }
 
-// pack empties the machine that wastes most money, if nothing waits and what it
-// carries can be saved and fits elsewhere: the paper's defragmentation, for the
-// sake of returning machines instead of making larger blocks.
+// pack empties machines that waste most money, if nothing waits and what they
+// carry can be saved and fits elsewhere: the paper's defragmentation, for the
+// sake of returning machines instead of making larger blocks. The larger the
+// fleet, the more machines at once.
 func (l *leader) pack() {
 	if l.waiting > 0 {
 		return
@@ -161,28 +163,44 @@
 		waste float64
 	}
 	var list []choice
+	p := packing{left: map[*machine]room{}, emptied: map[*machine]bool{}}
 	for _, m := range l.roster {
 		t := l.kind(m)
-		if !l.open(m) || m.hold != nil || len(m.copies) == 0 || t.GPUs == 0 || m.gpus > t.GPUs*tuning.PackBelow {
+		if !l.open(m) || m.hold != nil || len(m.copies) == 0 || t.GPUs == 0 {
 			continue
 		}
-		list = append(list, choice{m, l.price(m) * (t.GPUs - m.gpus)})
+		p.targets = append(p.targets, m)
+		if m.gpus <= t.GPUs*tuning.PackBelow {
+			list = append(list, choice{m, l.price(m) * (t.GPUs - m.gpus)})
+		}
 	}
 	slices.SortStableFunc(list, func(a, b choice) int { return cmp.Compare(b.waste, a.waste) })
-	for _, c := range list[:min(len(list), tuning.PackTries)] {
-		if c.waste > 0 && l.movable(c.m) {
+	slices.SortStableFunc(p.targets, func(a, b *machine) int { return cmp.Compare(b.gpus, a.gpus) })
+	most := max(1, len(l.roster)/tuning.PackFleet)
+	for _, c := range list[:min(len(list), tuning.PackTries*most)] {
+		if len(p.emptied) == most {
+			return
+		}
+		if _, taken := p.left[c.m]; !taken && c.waste > 0 && l.movable(c.m, &p) {
+			p.emptied[c.m] = true
 			l.n.log.Info("packing", "machine", c.m.id, "tasks", len(c.m.copies))
 			l.drain(c.m)
-			return
 		}
 	}
 }
 
+// packing is one round of moves: machines that take tasks, the fullest first,
+// what they have left after the moves so far, and those that are emptied.
+type packing struct {
+	targets []*machine
+	left    map[*machine]room
+	emptied map[*machine]bool
+}
+
 // movable says whether all that a machine carries is worth moving and fits on
-// other machines that are not dearer.
-func (l *leader) movable(m *machine) bool {
-	left := map[*machine]room{}
-	others := l.roster
+// other machines that are not dearer; if so the room is taken there.
+func (l *leader) movable(m *machine, p *packing) bool {
+	taken := map[*machine]room{}
 	for _, c := range sortedCopies(m) {
 		s := c.j.spec
 		rest := s.EstimateS - l.n.now.Sub(c.running).Seconds()
@@ -190,17 +208,19 @@
 			return false
 		}
 		found := false
-		for _, o := range others {
-			if o == m || !l.usable(c.j, o) || o.hold != nil || len(o.copies) == 0 || l.price(o) > l.price(m) {
+		for _, o := range p.targets {
+			if o == m || p.emptied[o] || l.price(o) > l.price(m) || !l.usable(c.j, o) {
 				continue
 			}
-			r, ok := left[o]
+			r, ok := taken[o]
 			if !ok {
-				r = l.left(o)
+				if r, ok = p.left[o]; !ok {
+					r = l.left(o)
+				}
 			}
 			if r.holds(s, 1) == 1 {
 				r.add(s, -1)
-				left[o], found = r, true
+				taken[o], found = r, true
 				break
 			}
 		}
@@ -208,6 +228,7 @@
 			return false
 		}
 	}
+	maps.Copy(p.left, taken)
 	return true
 }
 
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -19,6 +19,7 @@
 	state, cloud string
 	outside      *http.Client // state service and cloud
 	workers      *http.Client
+	calls        chan struct{} // calls to workers under way
 	answers      chan<- coordination.Event
 }
 
@@ -40,11 +41,18 @@
 		state: "http://" + cfg.Endpoints.State, cloud: "http://" + cfg.Endpoints.Cloud,
 		outside: client(2*tuning.ConnsPerHost, tuning.ConnsPerHost),
 		workers: client(tuning.WorkerConns, 1),
+		// A new leader calls every worker with tasks: the sockets must also do
+		// for those that report to it at the same moment.
+		calls:   make(chan struct{}, max(8, int(float64(cfg.Cluster.Resources.FDLimit)*tuning.WorkerSockets))),
 		answers: answers,
 	}
 }
 
 func (c *clients) call(r coordination.Request) {
+	if r.To == coordination.ToWorker {
+		c.calls <- struct{}{}
+		defer func() { <-c.calls }()
+	}
 	status, body := c.fetch(r)
 	c.answers <- coordination.Response{ID: r.ID, Status: status, Body: body}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -286,6 +286,8 @@
 	PackEvery = 5 * time.Second
 	// PackTries is how many machines are looked at for one to empty.
 	PackTries = 8
+	// PackFleet: one in so many machines may be emptied at once.
+	PackFleet = 20
 	// PackBelow is the share of its GPUs in use from which on a machine stays.
 	PackBelow = 0.5
 	// PackWorth is how much longer, in seconds, a task must be expected to run
@@ -318,7 +320,10 @@
 	// its own: 10,000 changes of a few KiB are the most that is kept.
 	MaxAnswer = 32 << 20
 	// ServerSockets is the share of the socket limit for users and workers.
-	ServerSockets = 0.75
+	ServerSockets = 0.8
+	// WorkerSockets is the share for calls to workers under way; the links to
+	// siblings and outside systems need a few dozen.
+	WorkerSockets = 0.08
 	// PeerQueue bounds the messages that wait for a link.
 	PeerQueue = 512
 	// PeerRedial is the pause before a sibling is dialled again.
