--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -213,7 +213,7 @@
 	}
 	for missed, at := range j.startBy {
 		if !now.After(at) {
-			return at.Add(time.Duration(missed) * tuning.LateTurn)
+			return at.Add(time.Duration(missed)*tuning.LateTurn + time.Duration(len(j.tasks)-j.done)*tuning.SizeTurn)
 		}
 	}
 	return j.at.Add(time.Duration(len(j.startBy)) * tuning.LateTurn)
