--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -81,9 +81,10 @@
 	b.addRacks(func(r *rack) bool { return r.queued })
 	var later []*job
 	list, urgent, ready := l.byUrgency()
+	reserve := float64(l.n.writes.Burst()) * tuning.GangReserve
 	for i, j := range list {
 		j.queued = false
-		if i < urgent || i < ready && float64(len(b.txn.Then)+2) <= tokens {
+		if i < urgent || i < ready && float64(len(b.txn.Then)+2) <= tokens-reserve {
 			b.addJob(j)
 		}
 		if len(j.dirty) > 0 {
@@ -110,11 +111,13 @@
 	l.send(tx)
 }
 
-// byUrgency orders the jobs with unwritten changes: new places first, by
-// priority, then ends, then the marks of single tasks that are done, which
-// their workers go on reporting until they are stored. The first ones are
-// urgent: they may run the budget into debt. So is what has waited long. Marks
-// are not ready at once: the tasks of an array end one after the other.
+// byUrgency orders the jobs with unwritten changes: gangs with new places
+// first, by priority, then arrays with new places and ends in the order that
+// they came, then the marks of single tasks that are done, which their workers
+// go on reporting until they are stored. The first ones are urgent: they may
+// run the budget into debt, and a part of it is kept for them. So is what has
+// waited long. Marks are not ready at once: the tasks of an array end one after
+// the other.
 func (l *leader) byUrgency() (list []*job, urgent, ready int) {
 	type entry struct {
 		j     *job
@@ -128,11 +131,11 @@
 		}
 		e := entry{j, 3}
 		switch age := l.n.now.Sub(j.dirtySince); {
-		case j.placing() || age > tuning.WriteWait:
+		case j.spec.Gang() && j.placing() || age > tuning.WriteWait:
 			e.class = 0
 			urgent++
 			ready++
-		case j.finalPhase() != "":
+		case j.placing() || j.finalPhase() != "":
 			e.class = 1
 			ready++
 		case age > tuning.MarkWait:
@@ -142,7 +145,11 @@
 		entries = append(entries, e)
 	}
 	slices.SortStableFunc(entries, func(a, b entry) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(b.j.rank, a.j.rank))
+		byRank := 0
+		if a.class == 0 {
+			byRank = cmp.Compare(b.j.rank, a.j.rank)
+		}
+		return cmp.Or(cmp.Compare(a.class, b.class), byRank, a.j.dirtySince.Compare(b.j.dirtySince))
 	})
 	for _, e := range entries {
 		list = append(list, e.j)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -73,9 +73,12 @@
 	// UserReserve is the part of a budget that users' requests leave to the
 	// node's own needs.
 	UserReserve = 0.25
-	// WriteWait is how long ends and marks of done tasks may wait behind new
-	// places: users expect a job that is over to be called done within 3 s.
+	// WriteWait is how long ends, marks and places of arrays may wait behind
+	// gangs: users expect a job that is over to be called done within 3 s.
 	WriteWait = 1500 * time.Millisecond
+	// GangReserve is the part of the leader's burst of writes that is kept for
+	// the places of gangs, whose tasks all wait for one commit.
+	GangReserve = 0.25
 	// MarkWait is how long marks of done tasks wait for others of their job.
 	MarkWait = 700 * time.Millisecond
 	// StaleWait is how long a room record may name machines that are gone: they
