--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -165,5 +165,4 @@
 	n.claim.term, n.claim.lease, n.claim.renewing = 0, 0, false
 	n.claim.retryAt = n.now.Add(tuning.ClaimRetry + n.jitter(tuning.ClaimJitter))
 	n.lead = nil
-	n.setShares()
 }
--- a/internal/coordination/mail.go
+++ b/internal/coordination/mail.go
@@ -42,7 +42,7 @@
 func (n *Node) tickMail() {
 	for _, s := range n.cfg.Siblings {
 		box := n.mail[s.Name]
-		if box == nil || len(box.frames) == 0 || box.sending || n.now.Before(box.sendAt) || !n.writes.AllowN(n.now, 1) {
+		if box == nil || len(box.frames) == 0 || box.sending || n.now.Before(box.sendAt) || !n.letters.AllowN(n.now, 1) {
 			continue
 		}
 		txn := protocol.Txn{Then: []protocol.Change{{Set: bookkeeping.MailKey(n.cfg.Name, s.Name),
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -133,8 +133,9 @@
 	out     []Action
 	nextID  uint64
 	pending map[uint64]func(status int, body []byte)
-	writes  *rate.Limiter // puts and deletes: decisions at the leader, mail
+	writes  *rate.Limiter // puts and deletes of the leader's decisions
 	admits  *rate.Limiter // puts for users: submissions and cancellations
+	letters *rate.Limiter // puts of mail
 	calls   *rate.Limiter // requests to the state service
 	metrics Metrics
 
@@ -190,23 +191,17 @@
 }
 
 // setShares divides the state service's budgets: most of the writes for the
-// leader's decisions, a part for the users of every node, the rest for mail;
+// leader's decisions, a part for the users of every node, a part for mail;
 // requests in equal parts.
 func (n *Node) setShares() {
-	nodes := float64(len(n.cfg.Siblings) + 1)
 	budget := func(limit float64, burst int) *rate.Limiter {
 		return rate.NewLimiter(rate.Limit(limit), max(burst, int(limit)))
 	}
-	state := n.cfg.Cluster.State
-	share := (1 - tuning.LeaderShare - tuning.UserShare) / nodes
-	if n.lead != nil {
-		share = tuning.LeaderShare
-	}
-	n.writes = budget(state.WriteRPS*share, state.TxnOps)
-	if n.calls == nil {
-		n.calls = budget(state.RPS*tuning.CallShare/nodes, 1)
-		n.admits = budget(state.WriteRPS*tuning.UserShare/nodes, state.TxnOps)
-	}
+	nodes, state := float64(len(n.cfg.Siblings)+1), n.cfg.Cluster.State
+	n.calls = budget(state.RPS*tuning.CallShare/nodes, 1)
+	n.writes = budget(state.WriteRPS*tuning.LeaderShare, state.TxnOps)
+	n.admits = budget(state.WriteRPS*tuning.UserShare/nodes, state.TxnOps)
+	n.letters = budget(state.WriteRPS*(1-tuning.LeaderShare-tuning.UserShare)/nodes, state.TxnOps)
 }
 
 // mayRead says whether the budget leaves room for a user's request: what the
@@ -215,8 +210,17 @@
 	return n.calls.TokensAt(n.now) >= 1+float64(n.calls.Burst())*tuning.UserReserve
 }
 
-// mayWrite says the same of a user's write, and takes it from the budget.
-func (n *Node) mayWrite() bool { return n.mayRead() && n.admits.AllowN(n.now, 1) }
+// mayWrite says the same of a user's write, and takes it from the budget: the
+// users' own or what is kept for mail and mostly not needed.
+func (n *Node) mayWrite() bool {
+	if !n.mayRead() {
+		return false
+	}
+	if n.admits.AllowN(n.now, 1) {
+		return true
+	}
+	return n.letters.TokensAt(n.now) > float64(n.letters.Burst())/2 && n.letters.AllowN(n.now, 1)
+}
 
 // Metrics are the node's counters, read after a step.
 type Metrics struct {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -63,10 +63,12 @@
 	UserDeadline = 1800 * time.Millisecond
 	// LeaderShare is the part of the state service's write budget that the
 	// leader's decisions use.
-	LeaderShare = 0.65
+	LeaderShare = 0.6
 	// UserShare is the part that users' submissions and cancellations use, in
-	// equal parts at every node. What is left is for mail.
-	UserShare = 0.3
+	// equal parts at every node. What is left is for mail: in a cut, each of
+	// hundreds of workers must have a report carried within its lease, and the
+	// answer back.
+	UserShare = 0.2
 	// CallShare is the part of the state service's request budget that the nodes
 	// use together; the rest absorbs watches and uneven clocks.
 	CallShare = 0.8
