--- a/internal/coordination/fences_test.go
+++ b/internal/coordination/fences_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -255,3 +256,45 @@
 		t.Error("takes new work")
 	}
 }
+
+// TestSilentZone: when a whole zone falls silent its machines are not returned
+// at once, though they are only a third of all: they are back when the cut ends.
+// Two that die in a zone that goes on reporting are.
+func TestSilentZone(t *testing.T) {
+	for _, c := range []struct{ silent, returned int }{{2, 2}, {8, 0}} {
+		start := time.Unix(1_800_000_000, 0)
+		l := testLeader(start)
+		for i := range 24 {
+			l.testMachine(fmt.Sprintf("i-%02d", i), "big", []string{"a", "b", "c"}[i/8], false)
+		}
+		lease := seconds(l.n.cfg.Cluster.Workers.LeaseS)
+		returned := func(till time.Duration) (n int) {
+			for ; l.n.now.Sub(start) < till; l.n.now = l.n.now.Add(tuning.WatchMachines) {
+				l.n.claim.renewed, l.n.out = l.n.now, nil
+				for i, m := range l.roster {
+					if i >= c.silent {
+						m.lastReport, m.answered = l.n.now, l.n.now
+					}
+				}
+				l.tickMachines()
+				for _, a := range l.n.out {
+					if r, ok := a.(Request); ok && r.To == ToWorker {
+						l.n.handle(Response{ID: r.ID})
+					}
+				}
+			}
+			for _, m := range l.roster {
+				if m.deleting {
+					n++
+				}
+			}
+			return n
+		}
+		if n := returned(lease); n != c.returned {
+			t.Errorf("%d silent: %d returned within the lease", c.silent, n)
+		}
+		if n := returned(3*lease + seconds(bigType.BootS)); n != c.silent {
+			t.Errorf("%d silent: %d returned in the end", c.silent, n)
+		}
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -37,6 +37,7 @@
 	lastReport time.Time // newest message of any kind
 	answered   time.Time // the last answered report: the lease counts from here at most
 	lapsed     bool      // the lease has surely run out since
+	lapsedAt   time.Time // when that was found
 
 	copies    map[taskKey]*taskCopy
 	exited    []protocol.TaskReport // as last reported
@@ -602,16 +603,7 @@
 // tickMachines looks for workers that are silent, lapsed or dead.
 func (l *leader) tickMachines() {
 	now := l.n.now
-	silent, total := 0, 0
-	for _, m := range l.machines {
-		if m.reported || m.session > 0 {
-			total++
-			if l.deaf(m) || !l.recent(m) && now.Sub(m.lastReport) > l.silence() && now.Sub(l.since) > l.silence() {
-				silent++
-			}
-		}
-	}
-	network := silent > 2 && float64(silent) > tuning.SilentShare*float64(total)
+	suspected := l.suspectedZones()
 	for _, m := range l.roster {
 		if l.n.lead != l {
 			return
@@ -620,7 +612,7 @@
 			continue
 		}
 		if !m.lapsed && !l.recent(m) && now.After(l.lapseAt(m)) {
-			m.lapsed = true
+			m.lapsed, m.lapsedAt = true, now
 			l.n.log.Info("lease lapsed", "machine", m.id)
 			for _, c := range sortedCopies(m) {
 				l.drop(c)
@@ -638,12 +630,48 @@
 		if len(l.n.links()) < len(l.n.cfg.Siblings) {
 			patience += tuning.CutPatience
 		}
-		if m.probes >= tuning.ProbesToDelete && (l.deaf(m) || now.Sub(m.lastReport) > patience) && (!network || m.lapsed) && !m.deleting {
+		if m.probes >= tuning.ProbesToDelete && (l.deaf(m) || now.Sub(m.lastReport) > patience) && (!suspected[m.zone] || l.outwaited(m)) && !m.deleting {
 			l.delete(m, "silent")
 		}
 	}
 }
 
+// suspectedZones are those in which the network is suspected, not the machines:
+// half of a zone's machines are silent at once, or a third of all. Machines
+// behind a cut are back when it ends, with their images; what is rented in
+// their place boots, perhaps behind the same cut.
+func (l *leader) suspectedZones() map[string]bool {
+	type count struct{ silent, total int }
+	zones := map[string]count{}
+	var all count
+	for _, m := range l.roster {
+		if !m.reported && m.session == 0 {
+			continue
+		}
+		z := zones[m.zone]
+		z.total++
+		all.total++
+		if l.deaf(m) || !l.recent(m) && l.n.now.Sub(m.lastReport) > l.silence() && l.n.now.Sub(l.since) > l.silence() {
+			z.silent++
+			all.silent++
+		}
+		zones[m.zone] = z
+	}
+	many := func(c count, share float64) bool { return c.silent > 2 && float64(c.silent) > share*float64(c.total) }
+	suspected := map[string]bool{}
+	for name, z := range zones {
+		suspected[name] = many(z, tuning.ZoneSilentShare) || many(all, tuning.SilentShare)
+	}
+	return suspected
+}
+
+// outwaited says whether a machine behind a suspected cut has been gone for so
+// long after its lease that another would have booted.
+func (l *leader) outwaited(m *machine) bool {
+	t := l.kind(m)
+	return m.lapsed && (t == nil || l.n.now.Sub(m.lapsedAt) > seconds(t.BootS))
+}
+
 // probe asks a silent worker for its report.
 func (l *leader) probe(m *machine) {
 	m.probing = true
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -116,6 +116,8 @@
 	// SilentShare is the part of the fleet that may be silent at once before
 	// the network is suspected instead of the machines.
 	SilentShare = 0.34
+	// ZoneSilentShare is the same for one zone's machines.
+	ZoneSilentShare = 0.5
 	// RelayMemory is how long a follower remembers that it redirected a worker;
 	// one that comes back within it could not reach the leader and is carried.
 	RelayMemory = 30 * time.Second
