--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -100,9 +100,9 @@
 }
 
 // placeWarm lets the arrays that come next in the queue, of one priority and
-// with no gang between, have the machines that hold their image, in their turn: an array that would fetch
-// its image there leaves them to one behind it that need not. One whose time
-// runs out takes what there is.
+// with no gang between, have the machines that hold their image, in their turn:
+// an array that would fetch its image there leaves them to one behind it that
+// need not. One whose time runs out takes what there is.
 func (l *leader) placeWarm(queue []*job) {
 	for _, j := range queue {
 		if j.spec.Gang() || j.rank != queue[0].rank {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -626,11 +626,12 @@
 		}
 		// With a sibling out of reach the worker may be behind the same cut and
 		// on its way to a controller that carries its reports.
-		patience := l.silence()
-		if len(l.n.links()) < len(l.n.cfg.Siblings) {
+		// Nor is one deaf then because it does not answer this node's calls.
+		patience, whole := l.silence(), len(l.n.links()) == len(l.n.cfg.Siblings)
+		if !whole {
 			patience += tuning.CutPatience
 		}
-		if m.probes >= tuning.ProbesToDelete && (l.deaf(m) || now.Sub(m.lastReport) > patience) && (!suspected[m.zone] || l.outwaited(m)) && !m.deleting {
+		if m.probes >= tuning.ProbesToDelete && (whole && l.deaf(m) || now.Sub(m.lastReport) > patience) && (!suspected[m.zone] || l.outwaited(m)) && !m.deleting {
 			l.delete(m, "silent")
 		}
 	}
--- a/internal/simulation/grown_test.go
+++ b/internal/simulation/grown_test.go
@@ -42,17 +42,43 @@
 	}
 }
 
-// TestGrown plays a day of a thousand machines: everything is served, and the
-// work that is asked of the state service and the cloud keeps within bounds.
-func TestGrown(t *testing.T) {
-	w := NewShaped(1, logs(), grown())
-	w.crowd(200, 120*time.Second)
-	w.finish(t, 400*time.Second)
-	t.Logf("%s: %d requests, %d changes, %d bytes", w.clock(), w.state.requests, w.state.changed, w.state.bytes)
-	if n := w.state.refused; n > 20 {
-		t.Errorf("the state service refuses %d requests beyond its budget", n)
-	}
-	if limit := 40 * len(w.users); w.state.changed > limit {
-		t.Errorf("%d changes for %d jobs", w.state.changed, len(w.users))
+// weakest is a deployment of two hundred machines behind the smallest budgets.
+func weakest() Shape {
+	s := Small()
+	s.Machines, s.Capacity = 36, 218
+	s.Teams = []config.Team{{Name: "red"}, {Name: "blue"}, {Name: "free"}}
+	s.Workers.ReportS = 5
+	return s
+}
+
+// TestSizes plays a day of a thousand machines and one behind the smallest
+// budgets: everything is served, and the work that is done and asked of the
+// state service keeps within bounds, counted, not timed.
+func TestSizes(t *testing.T) {
+	for name, day := range map[string]struct {
+		shape Shape
+		jobs  int
+	}{"thousand": {grown(), 200}, "weakest": {weakest(), 60}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := NewShaped(1, logs(), day.shape)
+			w.crowd(day.jobs, 120*time.Second)
+			w.finish(t, 600*time.Second)
+			span := w.Now.Sub(time.Unix(1_800_000_000, 0)).Seconds()
+			t.Logf("%.0f s: %d steps, %d requests, %d changes, %d bytes, %d refused", span, w.steps, w.state.requests, w.state.changed, w.state.bytes, w.state.refused)
+			if w.state.refused > 20 {
+				t.Errorf("the state service refuses %d requests beyond its budget", w.state.refused)
+			}
+			if limit := 25 * day.jobs; w.state.changed > limit {
+				t.Errorf("%d changes for %d jobs", w.state.changed, day.jobs)
+			}
+			if limit := 40_000 * day.jobs; w.state.bytes > limit {
+				t.Errorf("%d bytes for %d jobs", w.state.bytes, day.jobs)
+			}
+			// Ten ticks a second at each of three nodes, and the events.
+			if limit := int(span) * (30 + day.shape.Capacity/2); w.steps > limit {
+				t.Errorf("%d steps in %.0f s", w.steps, span)
+			}
+		})
 	}
 }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -96,6 +96,7 @@
 	workers map[string]*worker
 	users   []*user
 	rules   *rules
+	steps   int           // of all controllers
 	calm    time.Time     // when all troubles were over
 	copies  time.Duration // for so long copies of reports may be late, 0: there are none
 }
@@ -315,6 +316,7 @@
 
 func (c *controller) step(events ...coordination.Event) {
 	life := c.life
+	c.w.steps++
 	for _, a := range c.node.Step(c.w.Now, events) {
 		switch a := a.(type) {
 		case coordination.Reply:
