--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -137,7 +137,7 @@
 	sound := true
 	n.mirror.Each(bookkeeping.MachinePrefix, func(e protocol.Entry) {
 		rec, ok := parse[bookkeeping.Rack](e.Value)
-		if !ok {
+		if !ok || len(rec.Machines) == 0 { // an empty one is deleted, so this is something else
 			sound = false
 			n.log.Error("room record does not parse", "key", e.Key)
 			return
