Short task lists in records: an array of a hundred tasks is one record, not two

Tried to spare writes, most of which place arrays piece by piece. Records of version 0.1 are still read.

--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -1,6 +1,7 @@
 package bookkeeping
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -101,3 +102,31 @@
 		}
 	}
 }
+
+// TestTaskForm: the short form of a task says all that it must.
+func TestTaskForm(t *testing.T) {
+	for want, task := range map[string]Task{
+		`[3,2]`:            {Index: 3, Attempt: 2},
+		`[3,2,1]`:          {Index: 3, Attempt: 2, Done: true},
+		`[0,1,"i-\"1",7]`:  {Index: 0, Attempt: 1, Machine: `i-"1`, Session: 7},
+		`[9,1,"i-0001",0]`: {Index: 9, Attempt: 1, Machine: "i-0001"},
+	} {
+		if got := string(Encode(task)); got != want {
+			t.Errorf("%+v is written %s, want %s", task, got, want)
+		}
+		var back Task
+		if err := json.Unmarshal([]byte(want), &back); err != nil || back != task {
+			t.Errorf("%s is read %+v, %v", want, back, err)
+		}
+	}
+	var old Task
+	if err := json.Unmarshal([]byte(`{"i":3,"n":2,"m":"i-1","s":4}`), &old); err != nil || old != (Task{Index: 3, Attempt: 2, Machine: "i-1", Session: 4}) {
+		t.Errorf("the long form is read %+v, %v", old, err)
+	}
+	for _, bad := range []string{`[]`, `[1]`, `[1,2,"m",1,5]`, `["a",1]`, `{"i":"1"}`} {
+		var back Task
+		if json.Unmarshal([]byte(bad), &back) == nil {
+			t.Errorf("%s is taken", bad)
+		}
+	}
+}
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -92,13 +92,72 @@
 	Boot string `json:"boot"`
 }
 
-// Task is the part of a task that must outlive every controller.
+// Task is the part of a task that must outlive every controller. It is written
+// as [index,attempt] when it has no place, [index,attempt,"machine",session]
+// when it has one, and [index,attempt,1] when it is done: a job of a hundred
+// tasks then fits into one record.
 type Task struct {
-	Index   int    `json:"i"`
-	Attempt uint64 `json:"n"`
-	Machine string `json:"m,omitempty"`
-	Session uint64 `json:"s,omitempty"`
-	Done    bool   `json:"d,omitempty"`
+	Index   int
+	Attempt uint64
+	Machine string
+	Session uint64
+	Done    bool
+}
+
+// MarshalJSON writes the short form.
+func (t Task) MarshalJSON() ([]byte, error) {
+	b := make([]byte, 0, 48)
+	b = append(b, '[')
+	b = strconv.AppendInt(b, int64(t.Index), 10)
+	b = append(b, ',')
+	b = strconv.AppendUint(b, t.Attempt, 10)
+	switch {
+	case t.Done:
+		b = append(b, ",1"...)
+	case t.Machine != "":
+		name, err := json.Marshal(t.Machine)
+		if err != nil {
+			return nil, err
+		}
+		b = append(append(b, ','), name...)
+		b = append(b, ',')
+		b = strconv.AppendUint(b, t.Session, 10)
+	}
+	return append(b, ']'), nil
+}
+
+// UnmarshalJSON reads it, or the long form that version 0.1 wrote.
+func (t *Task) UnmarshalJSON(value []byte) error {
+	if len(value) > 0 && value[0] == '{' {
+		var long struct {
+			Index   int    `json:"i"`
+			Attempt uint64 `json:"n"`
+			Machine string `json:"m"`
+			Session uint64 `json:"s"`
+			Done    bool   `json:"d"`
+		}
+		err := json.Unmarshal(value, &long)
+		*t = Task(long)
+		return err
+	}
+	var fields []json.RawMessage
+	if err := json.Unmarshal(value, &fields); err != nil {
+		return err
+	}
+	if len(fields) < 2 || len(fields) > 4 {
+		return fmt.Errorf("a task of %d fields", len(fields))
+	}
+	*t = Task{Done: len(fields) == 3}
+	into := []any{&t.Index, &t.Attempt, &t.Machine, &t.Session}
+	if t.Done {
+		into = into[:2]
+	}
+	for i, f := range fields[:min(len(fields), len(into))] {
+		if err := json.Unmarshal(f, into[i]); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Job is the record of an unfinished job. Writer is unique to every write: by
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -90,7 +90,7 @@
 	TxnBytes = 60 << 10
 	// TaskBytes is a generous size of one task's entry in a record, by which
 	// the number of tasks in a record follows from the value limit.
-	TaskBytes = 72
+	TaskBytes = 52
 	// SpecBytes is kept free in a job's first record for its description.
 	SpecBytes = 3 << 10
 	// FinalCache is how many final states a node remembers; they never change.
