--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -586,7 +586,7 @@
 
 // silence is how long a worker may be silent before it is probed.
 func (l *leader) silence() time.Duration {
-	return seconds(l.n.cfg.Cluster.Workers.ReportS * tuning.SilentReports)
+	return max(seconds(l.n.cfg.Cluster.Workers.ReportS*tuning.SilentReports), tuning.SilentLeast)
 }
 
 // lapseAt is when a worker's lease has surely run out. One that this leader
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -100,8 +100,12 @@
 // Workers.
 const (
 	// SilentReports is how many report intervals a worker may be silent before
-	// it is probed: reports jitter by a quarter and one may be lost.
-	SilentReports = 2.3
+	// it is probed: reports jitter by a quarter. One whose report was lost
+	// answers the probe.
+	SilentReports = 1.7
+	// SilentLeast is the least such time: a worker that is not answered waits 4 s
+	// and comes to the next node a second later.
+	SilentLeast = 7 * time.Second
 	// ProbeTimeout bounds a probe and a direct order.
 	ProbeTimeout = 1200 * time.Millisecond
 	// ProbesToDelete is the number of unanswered probes after which a silent
