--- a/internal/coordination/fences_test.go
+++ b/internal/coordination/fences_test.go
@@ -298,3 +298,33 @@
 		}
 	}
 }
+
+// TestSpentBudget: a submission of the largest job for which the budget has no
+// room is refused at once, with a time to come back, and not held.
+func TestSpentBudget(t *testing.T) {
+	n := testLeader(time.Unix(1_800_000_000, 0)).n
+	n.mirror.BeginLoad()
+	n.mirror.LoadPage(&protocol.Entries{Revision: 1})
+	n.served = n.now
+	for _, spent := range []bool{false, true} {
+		if spent {
+			n.admits.AllowN(n.now, n.admits.Burst()-1)
+			n.letters.AllowN(n.now, n.letters.Burst())
+		}
+		s := gangOf(protocol.MaxTasks, 0)
+		s.ID, s.Priority, s.Shape = "run-000001", "normal", protocol.ShapeArray
+		n.out = nil
+		n.handle(Submit{ID: 5, Job: &s})
+		if !spent {
+			n.lastRequest(t, ToState)
+			continue
+		}
+		if len(n.out) != 1 {
+			t.Fatalf("%d actions", len(n.out))
+		}
+		r, ok := n.out[0].(Reply)
+		if !ok || r.Status != 503 || r.RetryAfter <= 0 {
+			t.Errorf("%+v", n.out[0])
+		}
+	}
+}
