--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -320,3 +321,50 @@
 	})
 	eventually(t, "the report is queued", func() bool { return len(o.urgent) == 1 })
 }
+
+// TestFlood: stalled connections and a flood of polls for jobs that nobody knows
+// leave every worker's report its answer; each poll has one, too.
+func TestFlood(t *testing.T) {
+	cfg, _ := startOwner(t, true)
+	eventually(t, "ready", ready(t, cfg))
+	for range 100 {
+		conn, err := net.Dial("tcp", cfg.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprint(conn, "GET /v2/runs/run-1 HTTP/1.1\r\nHost:")
+	}
+	var polls sync.WaitGroup
+	var wrong atomic.Int32
+	for i := range 16 {
+		polls.Add(1)
+		go func() {
+			defer polls.Done()
+			for k := range 40 {
+				if status, _, _ := call(t, cfg, "GET", fmt.Sprintf("/v2/runs/run-%06d", 100*i+k), ""); status != 404 && status != 503 {
+					wrong.Add(1)
+				}
+			}
+		}()
+	}
+	eventually(t, "a report is answered with 200", func() bool {
+		status, _, _ := call(t, cfg, "POST", protocol.PathReport, report(1))
+		return status == 200
+	})
+	for seq := range 40 {
+		began := time.Now()
+		status, body, _ := call(t, cfg, "POST", protocol.PathReport, report(seq+1000))
+		if took := time.Since(began); status != 200 || took > 4*time.Second {
+			t.Fatalf("report %d: %d %s after %v", seq, status, body, took)
+		}
+	}
+	polls.Wait()
+	if n := wrong.Load(); n > 0 {
+		t.Errorf("%d polls have neither 404 nor 503", n)
+	}
+}
+
+func report(seq int) string {
+	return fmt.Sprintf(`{"berth":"i-1","address":"127.0.0.1:1","build":"big","yard":"a","loaners":false,"tenure":1,"tally":%d,"warrant":0,"recall_s":null,"pieces":[]}`, seq)
+}
