Passes over the queue are bounded; what cannot be found is not looked for

Cause: with 1,966 machines full and 700 jobs waiting, each pass looked at every machine for every job, and the reckoning of rentals likewise, for a second and more of the controller's share. A pass now looks the machines over once, skips searches that cannot succeed, and stops making room after 100 ms of its share; the reckoning keeps only room that is left. Tasks without GPUs may now use processors beside full GPUs.

--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -13,12 +13,12 @@
 // lowest priority, and jobs that wait.
 func fullFleet(waiting int) *leader {
 	l := testLeader(time.Unix(1_800_000_000, 0))
-	for i := range 1000 {
+	for i := range 2000 {
 		l.testMachine(fmt.Sprintf("i-%06d", i), "big", []string{"a", "b", "c"}[i%3], false)
 	}
 	s := gangOf(100, 2)
 	s.Shape, s.Priority = protocol.ShapeArray, "idle"
-	for range 20 {
+	for range 40 {
 		j := l.testJob(s)
 		l.placeArray(j, false)
 		for _, c := range j.copies {
@@ -36,7 +36,7 @@
 // BenchmarkReport is the path of a worker's report at a thousand machines,
 // decoding included.
 func BenchmarkReport(b *testing.B) {
-	l := fullFleet(0)
+	l := fullFleet(600)
 	bodies := make([]*machine, 0, len(l.roster))
 	bodies = append(bodies, l.roster...)
 	b.ReportAllocs()
@@ -64,7 +64,7 @@
 // BenchmarkPlan is a pass over a queue of sixty gangs that do not fit at a
 // thousand machines, searches for work to stop included.
 func BenchmarkPlan(b *testing.B) {
-	l := fullFleet(60)
+	l := fullFleet(600)
 	b.ReportAllocs()
 	for b.Loop() {
 		l.n.now = l.n.now.Add(tuning.PlanEvery)
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -53,7 +53,7 @@
 // serves says whether a job could use the room. Room that the job avoids must
 // not count, or it would wait for it instead of for a machine to rent.
 func (l *leader) serves(r *spareRoom, j *job) bool {
-	return allows(j.spec, r.offer.typeName, r.offer.zone, r.offer.spot) && (r.m == nil || !l.n.now.Before(j.avoid[r.m.id]))
+	return allows(j.spec, r.offer.typeName, r.offer.zone, r.offer.spot) && (r.m == nil || !l.avoids(j, r.m))
 }
 
 func newFleet(rps float64) fleet {
@@ -340,7 +340,8 @@
 	f := &l.fleet
 	now := l.n.now
 	f.load = map[string]int{}
-	var rooms []*spareRoom
+	k := &reckoning{l: l, rooms: map[string][]*spareRoom{}, want: map[offer]int{},
+		plain: slices.ContainsFunc(f.demand, func(d demand) bool { return d.j.spec.GPUs == 0 })}
 	for _, m := range l.roster {
 		f.load[m.zone]++
 		t := l.kind(m)
@@ -358,28 +359,27 @@
 				left.add(c.j.spec, 1) // free before a rented machine would be up
 			}
 		}
-		rooms = append(rooms, &spareRoom{m, offer{m.typeName, m.zone, m.spot}, left})
+		k.add(&spareRoom{m, offer{m.typeName, m.zone, m.spot}, left})
 	}
 	for _, r := range f.rentals {
 		for range r.count {
-			rooms = append(rooms, &spareRoom{nil, r.offer, fullRoom(l.n.types[r.offer.typeName])})
+			k.add(&spareRoom{nil, r.offer, fullRoom(l.n.types[r.offer.typeName])})
 		}
 	}
-	want := map[offer]int{}
 	for _, d := range f.demand {
 		if d.j.gone || d.j.cancelled {
 			continue
 		}
 		if d.j.spec.Gang() && d.j.spec.OneZone {
-			rooms = l.reckonGang(d, rooms, want)
+			k.gang(d)
 		} else {
-			rooms = l.reckonTasks(d, rooms, want)
+			k.tasks(d)
 		}
 	}
 	f.demand = nil
 	l.plan = true
 	var offers []offer
-	for o := range want {
+	for o := range k.want {
 		offers = append(offers, o)
 	}
 	slices.SortFunc(offers, func(a, b offer) int {
@@ -389,7 +389,7 @@
 		if !f.calls.AllowN(now, 1) {
 			return
 		}
-		n := min(want[o], tuning.RentCount)
+		n := min(k.want[o], tuning.RentCount)
 		r := &rental{offer: o, count: n, body: protocol.Rental{Request: l.n.unique(), Type: o.typeName, Zone: o.zone, Spot: o.spot, Count: n}}
 		f.rentals = append(f.rentals, r)
 		l.n.log.Info("renting", "type", o.typeName, "zone", o.zone, "spot", o.spot, "count", n)
@@ -463,82 +463,126 @@
 	return out
 }
 
-// reckonGang finds the zone where a gang lacks least and takes what it needs
-// there, room that is there first.
-func (l *leader) reckonGang(d demand, rooms []*spareRoom, want map[offer]int) []*spareRoom {
-	j := d.j
+// reckoning compares what waits with what is there and on its way. Room that
+// is used up is left out at once: with the machines full, that is nearly all of
+// it, and every job that waits looks at the rest.
+type reckoning struct {
+	l     *leader
+	rooms map[string][]*spareRoom // of every zone
+	want  map[offer]int           // machines to rent
+	plain bool                    // something that waits takes no GPUs
+}
+
+// add enters room that is there.
+func (k *reckoning) add(r *spareRoom) {
+	if !k.usedUp(r) {
+		k.rooms[r.offer.zone] = append(k.rooms[r.offer.zone], r)
+	}
+}
+
+// usedUp says whether nothing that waits can have any of the room.
+func (k *reckoning) usedUp(r *spareRoom) bool {
+	t := k.l.n.types[r.offer.typeName]
+	return r.left.cpus < amountSlack || r.left.memory < amountSlack || !k.plain && t.GPUs > 0 && r.left.gpus < amountSlack
+}
+
+// lack is how many of n tasks find no room in a zone.
+func (k *reckoning) lack(j *job, zone string, n int) int {
+	for _, r := range k.rooms[zone] {
+		if n == 0 {
+			break
+		}
+		if k.l.serves(r, j) {
+			n -= r.left.holds(j.spec, n)
+		}
+	}
+	return n
+}
+
+// take gives up to n tasks room in a zone and returns how many have it.
+func (k *reckoning) take(j *job, zone string, n int) (taken int) {
+	used := false
+	for _, r := range k.rooms[zone] {
+		if taken == n {
+			break
+		}
+		if k.l.serves(r, j) {
+			fits := r.left.holds(j.spec, n-taken)
+			r.left.add(j.spec, -fits)
+			taken += fits
+			used = used || fits > 0 && k.usedUp(r)
+		}
+	}
+	if used {
+		k.rooms[zone] = slices.DeleteFunc(k.rooms[zone], k.usedUp)
+	}
+	return taken
+}
+
+// rent wants machines for n tasks.
+func (k *reckoning) rent(j *job, o offer, n int) {
+	for n > 0 {
+		r := &spareRoom{nil, o, fullRoom(k.l.n.types[o.typeName])}
+		fits := r.left.holds(j.spec, n)
+		r.left.add(j.spec, -fits)
+		n -= fits
+		k.want[o]++
+		k.add(r)
+	}
+}
+
+// gang finds the zone where a gang lacks least and takes what it needs there,
+// room that is there first.
+func (k *reckoning) gang(d demand) {
 	bestZone, bestLack, bestOffers := "", math.MaxInt, []offer(nil)
-	for _, z := range l.n.cfg.Cluster.Zones {
-		lack := d.tasks
-		for _, r := range rooms {
-			if r.offer.zone == z && l.serves(r, j) {
-				lack -= r.left.holds(j.spec, lack)
+	for _, z := range k.l.n.cfg.Cluster.Zones {
+		lack := k.lack(d.j, z, d.tasks)
+		var offers []offer
+		if lack > 0 {
+			if offers = k.l.offers(d.j, z); len(offers) == 0 {
+				continue
 			}
 		}
-		offers := l.offers(j, z)
-		if lack > 0 && len(offers) == 0 {
-			continue
-		}
 		if lack < bestLack {
 			bestZone, bestLack, bestOffers = z, lack, offers
 		}
+		if lack == 0 {
+			break
+		}
 	}
 	if bestZone == "" {
-		return rooms
-	}
-	need := d.tasks
-	for _, r := range rooms {
-		if r.offer.zone == bestZone && l.serves(r, j) {
-			n := r.left.holds(j.spec, need)
-			r.left.add(j.spec, -n)
-			need -= n
-		}
+		return
 	}
-	for need > 0 {
-		rooms = append(rooms, l.newRoom(bestOffers[0], j, &need, want))
+	if need := d.tasks - k.take(d.j, bestZone, d.tasks); need > 0 {
+		k.rent(d.j, bestOffers[0], need)
 	}
-	return rooms
 }
 
-// reckonTasks takes room for tasks that may be anywhere, within what the job
-// allows of each zone.
-func (l *leader) reckonTasks(d demand, rooms []*spareRoom, want map[offer]int) []*spareRoom {
-	j := d.j
-	need := d.tasks
-	limit, only := l.zoneLimits(j)
-	take := func(r *spareRoom) {
-		n := r.left.holds(j.spec, min(need, limit[r.offer.zone]))
-		r.left.add(j.spec, -n)
-		need -= n
-		limit[r.offer.zone] -= n
-	}
-	for _, r := range rooms {
-		if l.serves(r, j) && (only == "" || only == r.offer.zone) {
-			take(r)
+// tasks takes room for tasks that may be anywhere, within what the job allows
+// of each zone.
+func (k *reckoning) tasks(d demand) {
+	j, need := d.j, d.tasks
+	limit, only := k.l.zoneLimits(j)
+	for _, z := range k.l.n.cfg.Cluster.Zones {
+		if only == "" || only == z {
+			n := k.take(j, z, min(need, limit[z]))
+			need -= n
+			limit[z] -= n
 		}
 	}
-	wait := l.canWait(j)
-	for _, o := range l.offers(j, only) {
+	if need == 0 {
+		return
+	}
+	wait := k.l.canWait(j)
+	for _, o := range k.l.offers(j, only) {
 		if wait && !o.spot {
 			continue // an ordinary machine is for when time runs out
 		}
-		for need > 0 && limit[o.zone] > 0 {
-			r := &spareRoom{nil, o, fullRoom(l.n.types[o.typeName])}
-			take(r)
-			rooms = append(rooms, r)
-			want[o]++
-		}
+		n := min(need, limit[o.zone])
+		k.rent(j, o, n)
+		need -= n
+		limit[o.zone] -= n
 	}
-	return rooms
-}
-
-func (l *leader) newRoom(o offer, j *job, need *int, want map[offer]int) *spareRoom {
-	r := &spareRoom{nil, o, fullRoom(l.n.types[o.typeName])}
-	n := r.left.holds(j.spec, *need)
-	r.left.add(j.spec, -n)
-	*need -= n
-	want[o]++
-	return r
 }
 
 // sendRental sends a request. One whose answer is lost is sent again under the
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -33,9 +33,9 @@
 	hurried  []*machine // have orders that should not wait for a report
 	plan     bool       // something changed that placement may depend on
 	planAt   time.Time
-	vacant   []*machine // during a pass over the queue: open machines with room
-	looks    int        // machines looked at in this pass
-	watchAt  time.Time  // when the machines are looked over again
+	pass     *pass     // the pass over the queue under way, nil between two
+	looks    int       // machines looked at in the last pass
+	watchAt  time.Time // when the machines are looked over again
 	fleet    fleet
 	// when a job last came, and one that may not use spot machines
 	lastJob, lastOrdinary time.Time
@@ -192,13 +192,21 @@
 
 // ordered lists the jobs in order of priority and arrival.
 func (l *leader) ordered() []*job {
-	list := make([]*job, 0, len(l.jobs))
+	type entry struct {
+		j    *job
+		turn time.Time
+	}
+	entries := make([]entry, 0, len(l.jobs))
 	for _, j := range l.jobs {
-		list = append(list, j)
+		entries = append(entries, entry{j, j.turn(l.n.now)})
 	}
-	slices.SortFunc(list, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), a.turn(l.n.now).Compare(b.turn(l.n.now)), cmp.Compare(a.seq, b.seq), cmp.Compare(a.id, b.id))
+	slices.SortFunc(entries, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(b.j.rank, a.j.rank), a.turn.Compare(b.turn), cmp.Compare(a.j.seq, b.j.seq), cmp.Compare(a.j.id, b.j.id))
 	})
+	list := make([]*job, len(entries))
+	for i, e := range entries {
+		list[i] = e.j
+	}
 	return list
 }
 
--- /dev/null
+++ b/internal/coordination/pass_test.go
@@ -0,0 +1,83 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// TestPassIsBounded: with two thousand machines full of work, a pass over a long
+// queue looks at each machine a few times, not once for every job, and every
+// job still has its turn at a search. Unbounded passes once took longer than
+// the claim lasts; each new leader fared no better than the last.
+func TestPassIsBounded(t *testing.T) {
+	for _, high := range []bool{true, false} {
+		l := fullFleet(0)
+		if high {
+			for _, j := range l.jobs {
+				j.rank = protocol.RankCritical // nothing yields
+			}
+		}
+		l.n.cfg.Cluster.Resources.Cores = 0.2
+		var waiting []*job
+		for i := range 600 {
+			s := gangOf(64, 4)
+			s.OneZone, s.Spot, s.Image = true, true, fmt.Sprint("img-", i%7)
+			waiting = append(waiting, l.testJob(s))
+		}
+		for range 60 {
+			l.n.now = l.n.now.Add(tuning.PlanEvery)
+			for _, m := range l.roster {
+				m.lastReport = l.n.now
+			}
+			l.schedule()
+			limit := 4 * len(l.roster) // what is open, vacant and could yield
+			if !high {
+				limit += int(0.2*float64(tuning.PassLength/tuning.LookCost)) + len(l.roster)*len(l.n.cfg.Cluster.Zones)
+			}
+			if l.looks > limit {
+				t.Fatalf("nothing yields %v: %d looks at %d machines in one pass", high, l.looks, len(l.roster))
+			}
+		}
+		searched := 0
+		for _, j := range waiting {
+			if !j.searchAt.IsZero() || len(j.held) > 0 {
+				searched++
+			}
+		}
+		if !high && searched < len(waiting)/2 {
+			t.Errorf("room was looked for for %d of %d jobs", searched, len(waiting))
+		}
+	}
+}
+
+// TestRoomBesideGPUs: a task that takes no GPUs has the processors that are left
+// on a machine whose GPUs are all taken; nothing is rented for it. One that
+// takes GPUs has none there.
+func TestRoomBesideGPUs(t *testing.T) {
+	for gpus, rentals := range map[float64]int{0: 0, 1: 1} {
+		l := testLeader(time.Unix(1_800_000_000, 0))
+		l.testMachine("i-1", "big", "a", false)
+		full := gangOf(1, bigType.GPUs)
+		if !l.placeGang(l.testJob(full)) {
+			t.Fatal("the machine does not hold the first gang")
+		}
+		s := gangOf(1, gpus)
+		s.Zone = "a"
+		j := l.testJob(s)
+		l.schedule()
+		if placed := len(j.copies) == 1; placed != (gpus == 0) {
+			t.Errorf("%v GPUs: placed %v", gpus, placed)
+		}
+		if len(j.copies) == 0 {
+			l.fleet.demand = []demand{{j, 1}}
+		}
+		l.rent()
+		if len(l.fleet.rentals) != rentals {
+			t.Errorf("%v GPUs: %d rentals", gpus, len(l.fleet.rentals))
+		}
+	}
+}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -33,6 +33,12 @@
 // room is what a machine has left.
 type room struct{ cpus, gpus, memory float64 }
 
+func (r *room) plus(o room) {
+	r.cpus += o.cpus
+	r.gpus += o.gpus
+	r.memory += o.memory
+}
+
 func (r *room) add(s *protocol.Job, n int) {
 	r.cpus += s.CPUs * float64(n)
 	r.gpus += s.GPUs * float64(n)
@@ -77,14 +83,16 @@
 }
 
 // usable says whether a job may start on a machine now.
-func (l *leader) usable(j *job, m *machine) bool {
-	if !l.open(m) || !allows(j.spec, m.typeName, m.zone, m.spot) {
-		return false
-	}
-	if l.n.now.Before(j.avoid[m.id]) {
-		return false
-	}
-	return m.hold == nil || m.hold == j
+func (l *leader) usable(j *job, m *machine) bool { return l.open(m) && l.suits(j, m) }
+
+// suits says the same of a machine that is known to be open.
+func (l *leader) suits(j *job, m *machine) bool {
+	return (m.hold == nil || m.hold == j) && allows(j.spec, m.typeName, m.zone, m.spot) && !l.avoids(j, m)
+}
+
+// avoids says whether a job's task was refused or failed on a machine lately.
+func (l *leader) avoids(j *job, m *machine) bool {
+	return len(j.avoid) > 0 && l.n.now.Before(j.avoid[m.id])
 }
 
 // zoneLimits says how many more tasks of the job each zone may take, given
@@ -144,16 +152,17 @@
 // sites lists the machines that can take tasks of a job, the best first.
 func (l *leader) sites(j *job, zone string) []site {
 	var list []site
-	machines := l.vacant
-	if machines == nil {
-		machines = l.roster
+	p := l.present()
+	machines := p.vacant
+	if j.spec.GPUs == 0 {
+		machines = p.open // it may fit beside tasks that have all of a machine's GPUs
 	}
-	l.looks += len(machines)
+	p.looks += len(machines)
 	for _, m := range machines {
-		if zone != "" && m.zone != zone {
+		if zone != "" && m.zone != zone || !l.suits(j, m) {
 			continue
 		}
-		if n := l.left(m).holds(j.spec, len(j.tasks)); n > 0 && l.usable(j, m) {
+		if n := l.left(m).holds(j.spec, len(j.tasks)); n > 0 {
 			list = append(list, site{m: m, count: n, residual: m.slots.free, suspect: len(m.failed) > 0, survivor: j.survivors[m.id], cached: m.hasImage(j.spec.Image), price: l.price(m)})
 		}
 	}
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
@@ -39,17 +38,13 @@
 // within the teams' limits.
 func (l *leader) schedule() {
 	now := l.n.now
-	l.looks = len(l.roster)
-	l.vacant = make([]*machine, 0, len(l.roster))
-	defer func() { l.vacant = nil }()
 	for _, m := range l.roster {
 		if m.hold != nil && (now.After(m.holdTill) || m.hold.gone || m.hold.cancelled || !m.hold.stopping && l.wants(m.hold) == 0) {
 			m.release()
 		}
-		if l.open(m) && m.roomy(l.kind(m)) {
-			l.vacant = append(l.vacant, m)
-		}
 	}
+	l.pass = l.newPass()
+	defer func() { l.looks, l.pass = l.pass.looks, nil }()
 	queue := l.ordered()
 	l.withinGuarantee(queue)
 	l.entitle(queue)
@@ -88,17 +83,6 @@
 	l.fleet.demand = waiting
 }
 
-// planPause is the pause after a pass over the queue: longer the more machines
-// it had to look at and the smaller the controller's share of a core is, so
-// that planning leaves time for reports and commits.
-func (l *leader) planPause() time.Duration {
-	pause := tuning.PlanEvery
-	if cores := l.n.cfg.Cluster.Resources.Cores; cores > 0 {
-		pause = max(pause, time.Duration(float64(l.looks)*float64(tuning.LookCost)/(cores*tuning.PlanShare)))
-	}
-	return min(pause, tuning.PlanIdle)
-}
-
 // placeWarm lets the arrays that come next in the queue, of one priority and
 // with no gang between, have the machines that hold their image, in their turn:
 // an array that would fetch its image there leaves them to one behind it that
@@ -235,7 +219,7 @@
 // enough room for it, and holds the room for it. A search that found nothing
 // is not repeated at once: it looks at every machine.
 func (l *leader) makeRoom(j *job, n int) {
-	if l.evicting(j) || l.n.now.Before(j.searchAt) {
+	if l.evicting(j) || l.n.now.Before(j.searchAt) || l.present().spent() || l.hopeless(j, n) {
 		return
 	}
 	list := l.evictions(j, n, false)
@@ -276,7 +260,8 @@
 		return true
 	}
 	fetch := l.fetchSeconds(j.spec)
-	if fetch < tuning.WarmFetch || len(j.held) > 0 || l.n.now.Before(j.warmAt) || l.teamRoom(j) < len(j.tasks) {
+	if fetch < tuning.WarmFetch || len(j.held) > 0 || l.n.now.Before(j.warmAt) || l.teamRoom(j) < len(j.tasks) ||
+		l.present().spent() || l.hopeless(j, len(j.tasks)) {
 		return false
 	}
 	warm := 0
@@ -337,10 +322,11 @@
 			best, bestCost = taken, cost
 		}
 	}
+	p := l.present()
 	collect := func(zone string) (list []eviction) {
-		l.looks += len(l.roster)
-		for _, m := range l.roster {
-			if zone != "" && m.zone != zone || only != "" && m.zone != only || !l.usable(j, m) || warm && !m.hasImage(j.spec.Image) {
+		p.looks += len(p.open)
+		for _, m := range p.open {
+			if zone != "" && m.zone != zone || only != "" && m.zone != only || !l.suits(j, m) || warm && !m.hasImage(j.spec.Image) {
 				continue
 			}
 			if e := l.evict(j, m, n); e.count > 0 {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -21,8 +21,8 @@
 	id, address, typeName, zone string
 	spot                        bool
 	slots                       buddy
-	sized                       bool    // the slots follow from the type
-	cpus, gpus, memory          float64 // in use
+	kind                        *protocol.MachineType // nil until it is known, and the slots with it
+	cpus, gpus, memory          float64               // in use
 
 	rack      *rack // its room record, shared with others
 	rackBytes int   // of its entry there, at most
@@ -118,15 +118,16 @@
 
 // kind is the machine's type, nil while it is unknown.
 func (l *leader) kind(m *machine) *protocol.MachineType {
-	t := l.n.types[m.typeName]
-	if t != nil && !m.sized {
-		m.sized = true
-		m.slots = newBuddy(machineSlots(t))
+	if m.kind == nil || m.kind.Name != m.typeName {
+		if m.kind = l.n.types[m.typeName]; m.kind == nil {
+			return nil
+		}
+		m.slots = newBuddy(machineSlots(m.kind))
 		for _, c := range sortedCopies(m) {
 			c.slots = m.slots.carve(taskSlots(c.j.spec))
 		}
 	}
-	return t
+	return m.kind
 }
 
 func sortedCopies(m *machine) []*taskCopy {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -228,6 +228,12 @@
 	PlanIdle = time.Second
 	// LookCost is about what a look at one machine for one job costs of a core.
 	LookCost = 100 * time.Nanosecond
+	// PassLength is how long one pass over the queue may go on making room: a
+	// claim must be renewed, and reports answered, between two passes.
+	PassLength = 100 * time.Millisecond
+	// LooksLeast is the number of looks that a pass may take however small the
+	// controller's share of a core: a few jobs' searches on a small fleet.
+	LooksLeast = 5000
 	// PlanShare is the part of the controller's processor time that passes over
 	// the queue may take; reports, commits and users need the rest.
 	PlanShare = 0.25
