Calls to workers are paced; a leader that stood still renews its claim first

Calls are now paced by cost and bounded by sockets, orders before probes; a carried worker is sent to the leader again after a minute, or when another leads; after a standstill nothing is done before the claim was renewed.

--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -5,11 +5,15 @@
 	"testing"
 	"time"
 
+	"github.com/gappond/gappond/internal/config"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
 )
 
-// fullFleet is a leader with a thousand machines, all taken by arrays of the
+// bigResources are those of a controller of two thousand machines.
+var bigResources = config.Resources{Cores: 0.25, MemoryMB: 271, FDLimit: 2127}
+
+// fullFleet is a leader with two thousand machines, all taken by arrays of the
 // lowest priority, and jobs that wait.
 func fullFleet(waiting int) *leader {
 	l := testLeader(time.Unix(1_800_000_000, 0))
@@ -33,7 +37,7 @@
 	return l
 }
 
-// BenchmarkReport is the path of a worker's report at a thousand machines,
+// BenchmarkReport is the path of a worker's report at two thousand machines,
 // decoding included.
 func BenchmarkReport(b *testing.B) {
 	l := fullFleet(600)
@@ -61,8 +65,8 @@
 	}
 }
 
-// BenchmarkPlan is a pass over a queue of sixty gangs that do not fit at a
-// thousand machines, searches for work to stop included.
+// BenchmarkPlan is a pass over a queue of six hundred gangs that do not fit at
+// two thousand machines, searches for work to stop included.
 func BenchmarkPlan(b *testing.B) {
 	l := fullFleet(600)
 	b.ReportAllocs()
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -23,6 +23,10 @@
 	renewed  time.Time // when the last renewal that succeeded was sent
 	renewing bool
 	renewAt  time.Time
+	// The process stood still until woken: a renewal sent since must prove the
+	// claim before anything else is done under it.
+	unproven bool
+	woken    time.Time
 }
 
 // grace is how long a leader that cannot renew its claim goes on answering
@@ -143,6 +147,7 @@
 		case 200:
 			c.renewed = sent
 			c.renewAt = sent.Add(tuning.ClaimRenew)
+			c.unproven = c.unproven && sent.Before(c.woken)
 		case 404:
 			n.stepDown("claim's lease has ended")
 		default:
@@ -157,12 +162,32 @@
 	return n.claim.term != 0 && n.now.Sub(n.claim.renewed) < tuning.ClaimTTL+n.grace()
 }
 
+// acting says whether the node may command workers and write records now.
+func (n *Node) acting() bool {
+	return n.lead != nil && n.entitled() && !n.claim.unproven
+}
+
+// wake is called when the process goes on after it stood still, its clocks
+// running on: full buffers and timers that are all due wait, and somebody else
+// may lead by now. Nothing is done as leader before the claim was renewed.
+func (n *Node) wake(gap time.Duration) {
+	if n.claim.term == 0 {
+		return
+	}
+	n.log.Info("stood still", "term", n.claim.term, "seconds", gap.Seconds())
+	n.claim.unproven, n.claim.woken = true, n.now
+	n.claim.renewing, n.claim.renewAt = false, n.now // one sent before proves nothing
+	if !n.entitled() {
+		n.stepDown("stood still for longer than its claim")
+	}
+}
+
 func (n *Node) stepDown(why string) {
 	if n.claim.term == 0 {
 		return
 	}
 	n.log.Info("stepping down", "term", n.claim.term, "why", why)
-	n.claim.term, n.claim.lease, n.claim.renewing = 0, 0, false
+	n.claim.term, n.claim.lease, n.claim.renewing, n.claim.unproven = 0, 0, false, false
 	n.claim.retryAt = n.now.Add(tuning.ClaimRetry + n.jitter(tuning.ClaimJitter))
 	n.lead = nil
 }
--- /dev/null
+++ b/internal/coordination/fleet_size_test.go
@@ -0,0 +1,199 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// sentTo counts a step's requests to a system, and those of them whose path is
+// the given one.
+func sentTo(out []Action, to Target, path string) (all, such int) {
+	for _, a := range out {
+		if r, ok := a.(Request); ok && r.To == to {
+			all++
+			if r.Path == path {
+				such++
+			}
+		}
+	}
+	return all, such
+}
+
+// TestTakeoverIsPaced: a new leader of two thousand machines calls no more of
+// them than its share of a core allows, and renews its claim meanwhile. One that
+// called all at once did not come to renew it and was replaced, and so in turn.
+func TestTakeoverIsPaced(t *testing.T) {
+	l := fullFleet(0)
+	n := l.n
+	n.cfg.Cluster.Resources = bigResources
+	l.calls = n.workerCalls()
+	for _, m := range l.roster {
+		m.reported, m.fresh, m.lastReport = false, false, time.Time{}
+	}
+	start := n.now
+	calls, renewals := 0, 0
+	open := map[uint64]time.Time{}
+	for n.now.Sub(start) < 5*time.Second {
+		var events []Event
+		for id, at := range open {
+			if n.now.Sub(at) >= tuning.ProbeTimeout {
+				delete(open, id)
+				events = append(events, Response{ID: id}) // none of them answers
+			}
+		}
+		out := n.Step(n.now.Add(tuning.Tick), events)
+		for _, a := range out {
+			r, ok := a.(Request)
+			switch {
+			case ok && r.To == ToWorker:
+				calls++
+				open[r.ID] = n.now
+			case ok && r.Path == protocol.RenewPath(n.claim.lease):
+				renewals++
+				n.pending[r.ID](200, nil)
+			}
+		}
+		if limit := int(float64(bigResources.FDLimit) * tuning.WorkerSockets); len(open) > limit {
+			t.Fatalf("%d calls under way", len(open))
+		}
+	}
+	most := 5*bigResources.Cores*tuning.OrderShare/tuning.OrderCost.Seconds() + float64(l.calls.Burst())
+	if calls == 0 || float64(calls) > most {
+		t.Errorf("%d calls in 5 s, %v are allowed", calls, most)
+	}
+	if renewals < 4 {
+		t.Errorf("%d renewals in 5 s", renewals)
+	}
+}
+
+// TestOrdersBeforeProbes: however many silent machines are probed, half of the
+// calls are left for orders.
+func TestOrdersBeforeProbes(t *testing.T) {
+	l := fullFleet(0)
+	l.n.cfg.Cluster.Resources = bigResources
+	l.calls = l.n.workerCalls()
+	l.since = l.n.now.Add(-time.Minute)
+	for _, m := range l.roster[1:] {
+		m.lastReport = l.n.now.Add(-time.Minute)
+	}
+	l.tickMachines()
+	probes, _ := sentTo(l.n.out, ToWorker, protocol.PathInspect)
+	if sockets := int(float64(bigResources.FDLimit) * tuning.WorkerSockets); probes == 0 || probes > sockets/2 {
+		t.Fatalf("%d probes at once", probes)
+	}
+	for _, c := range sortedCopies(l.roster[0]) {
+		l.stop(c, 0)
+	}
+	l.sendDirect()
+	if _, orders := sentTo(l.n.out, ToWorker, protocol.PathOrders); orders != 1 {
+		t.Errorf("%d orders leave", orders)
+	}
+}
+
+// TestStandstill: a leader that stood still for seconds, its clocks running on,
+// answers no report, sends no order and writes nothing before its claim was
+// renewed; one whose claim must have lapsed meanwhile leads no more.
+func TestStandstill(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	n := l.n
+	m := l.testMachine("i-1", "big", "a", false)
+	report := func(id uint64) Event {
+		m.seq++
+		return WorkerReport{ID: id, Report: &protocol.Report{Machine: m.id, Address: "h:1", Type: "big", Zone: "a", Session: 1, Seq: m.seq + 10, Token: n.claim.term}}
+	}
+	status := func(out []Action, id uint64) int {
+		for _, a := range out {
+			if r, ok := a.(Reply); ok && r.ID == id {
+				return r.Status
+			}
+		}
+		return 0
+	}
+	n.Step(n.now.Add(tuning.Tick), nil)
+	j := l.testJob(gangOf(1, 1))
+	l.plan = true
+	out := n.Step(n.now.Add(10*time.Second), []Event{report(1)})
+	if got := status(out, 1); got != 503 {
+		t.Errorf("the report that waited is answered %d", got)
+	}
+	if calls, _ := sentTo(out, ToWorker, ""); calls > 0 {
+		t.Errorf("%d calls to workers", calls)
+	}
+	if _, writes := sentTo(out, ToState, protocol.PathTxn); writes > 0 || len(j.copies) > 0 {
+		t.Errorf("%d transactions, %d tasks placed", writes, len(j.copies))
+	}
+	_, renewals := sentTo(out, ToState, protocol.RenewPath(n.claim.lease))
+	if renewals != 1 {
+		t.Fatalf("%d renewals", renewals)
+	}
+	renew := Request{}
+	for _, a := range out {
+		if r, ok := a.(Request); ok && r.Path == protocol.RenewPath(n.claim.lease) {
+			renew = r
+		}
+	}
+	out = n.Step(n.now.Add(time.Millisecond), []Event{Response{ID: renew.ID, Status: 200}, report(2)})
+	if got := status(out, 2); got != 200 || !n.acting() {
+		t.Errorf("after the renewal a report is answered %d", got)
+	}
+	n.Step(n.now.Add(tuning.ClaimTTL+n.grace()+time.Second), nil)
+	if n.Leading() {
+		t.Error("leads on a claim that has lapsed")
+	}
+}
+
+// TestCarriedWorkerIsSentAgain: a worker that could not reach the leader is
+// carried, but not for ever: it is sent to the leader again after a while, and
+// at once when another leads.
+func TestCarriedWorkerIsSentAgain(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	n := l.n
+	n.stepDown("a test")
+	n.peers = map[string]*peer{"first": {up: true}, "second": {up: true}}
+	lead := func(name string, stamp uint64) {
+		n.claimSeen(bookkeeping.Encode(bookkeeping.Claim{Node: name}), stamp)
+	}
+	seq := uint64(0)
+	send := func(after time.Duration) string {
+		seq++
+		for _, p := range n.peers {
+			p.heard = n.now.Add(after)
+			p.status.Links = []string{"first", "second"}
+		}
+		out := n.Step(n.now.Add(after), []Event{WorkerReport{ID: seq, Report: &protocol.Report{Machine: "i-1", Session: 1, Seq: seq}}})
+		for _, a := range out {
+			switch a := a.(type) {
+			case Reply:
+				if a.ID == seq {
+					return fmt.Sprint(a.Status)
+				}
+			case PeerSend:
+				if _, ok := a.Message.(protocol.PeerReport); ok {
+					return "carried to " + a.Peer
+				}
+			}
+		}
+		return "nothing"
+	}
+	lead("first", 20)
+	for i, step := range []struct {
+		after time.Duration
+		want  string
+	}{
+		{time.Second, "421"}, {5 * time.Second, "carried to first"}, {5 * time.Second, "carried to first"},
+		{tuning.RelayMemory, "421"}, {5 * time.Second, "carried to first"},
+	} {
+		if got := send(step.after); got != step.want {
+			t.Errorf("report %d: %s, want %s", i, got, step.want)
+		}
+	}
+	lead("second", 21)
+	if got := send(time.Second); got != "421" {
+		t.Errorf("with another leader: %s", got)
+	}
+}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -11,6 +11,7 @@
 	"github.com/gappond/gappond/internal/config"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
+	"golang.org/x/time/rate"
 )
 
 // leader is everything that only the leading controller knows. It is rebuilt
@@ -30,8 +31,10 @@
 	cleanup  []string // keys to delete when there is time
 	inFlight *commit
 	commitAt time.Time
-	hurried  []*machine // have orders that should not wait for a report
-	plan     bool       // something changed that placement may depend on
+	hurried  []*machine    // have orders that should not wait for a report
+	calls    *rate.Limiter // calls to workers: direct orders and probes
+	calling  int           // calls to workers under way
+	plan     bool          // something changed that placement may depend on
 	planAt   time.Time
 	pass     *pass     // the pass over the queue under way, nil between two
 	looks    int       // machines looked at in the last pass
@@ -128,7 +131,7 @@
 
 func (n *Node) takeOver() {
 	l := &leader{n: n, since: n.now, jobs: map[string]*job{}, machines: map[string]*machine{}, teams: map[string]*team{}, plan: true,
-		fleet: newFleet(n.cfg.Cluster.Cloud.RPS)}
+		calls: n.workerCalls(), fleet: newFleet(n.cfg.Cluster.Cloud.RPS)}
 	n.lead = l
 	n.typesAt = n.now // today's prices, and a record of the types if there is none
 	for _, t := range n.cfg.Cluster.Teams {
@@ -182,11 +185,6 @@
 	for _, j := range l.ordered() {
 		l.settle(j)
 	}
-	for _, m := range l.roster {
-		if m.session > 0 {
-			l.hurry(m) // shows the token to a worker with tasks
-		}
-	}
 	n.log.Info("leading", "term", n.claim.term, "jobs", len(l.jobs), "machines", len(l.machines))
 }
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -164,7 +164,7 @@
 	beatAt     time.Time
 	carried    map[uint64]carried   // requests that siblings answer
 	carriedIn  map[uint64]carriedIn // requests of siblings that this node answers
-	redirected map[string]time.Time
+	redirected map[string]redirect
 	mail       map[string]*mailbox
 }
 
@@ -180,7 +180,7 @@
 		peers:      map[string]*peer{},
 		carried:    map[uint64]carried{},
 		carriedIn:  map[uint64]carriedIn{},
-		redirected: map[string]time.Time{},
+		redirected: map[string]redirect{},
 		mail:       map[string]*mailbox{},
 	}
 	for _, s := range cfg.Siblings {
@@ -245,7 +245,14 @@
 
 // Step takes events and the present time and returns what is to be done.
 func (n *Node) Step(now time.Time, events []Event) []Action {
+	gap := now.Sub(n.now)
+	if n.now.IsZero() {
+		gap = 0
+	}
 	n.now, n.out = now, nil
+	if gap >= tuning.Standstill {
+		n.wake(gap)
+	}
 	for _, e := range events {
 		n.handle(e)
 	}
@@ -291,7 +298,7 @@
 	n.tickElection()
 	n.tickPeers()
 	n.tickMail()
-	if n.lead != nil {
+	if n.acting() {
 		n.lead.tick()
 	}
 	n.flushPolls()
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -22,6 +22,12 @@
 	expire time.Time
 }
 
+// redirect is when a worker was sent to which leader.
+type redirect struct {
+	term uint64
+	at   time.Time
+}
+
 // carriedIn is a request that a sibling sent on to this node.
 type carriedIn struct {
 	origin string
@@ -148,8 +154,8 @@
 		return
 	}
 	n.beatAt = n.now.Add(tuning.PeerBeat)
-	for name, at := range n.redirected {
-		if n.now.Sub(at) > tuning.RelayMemory {
+	for name, sent := range n.redirected {
+		if n.now.Sub(sent.at) > tuning.RelayMemory {
 			delete(n.redirected, name)
 		}
 	}
@@ -240,9 +246,12 @@
 		n.reply(id, 503, protocol.ErrorBody{Error: "no leader known"})
 		return
 	}
-	direct := n.reach(leader) && !n.torn(leader)
-	if _, again := n.redirected[r.Machine]; direct && !again {
-		n.redirected[r.Machine] = n.now
+	// One that is carried is sent to the leader again after a while: the cut that
+	// it was behind may be over, and carrying costs two controllers' time.
+	sent, known := n.redirected[r.Machine]
+	again := known && sent.term == n.claim.stamp && n.now.Sub(sent.at) < tuning.RelayMemory
+	if n.reach(leader) && !n.torn(leader) && !again {
+		n.redirected[r.Machine] = redirect{n.claim.stamp, n.now}
 		n.reply(id, 421, protocol.Redirect{ReportTo: leader})
 		return
 	}
@@ -251,7 +260,6 @@
 		n.reply(id, 421, protocol.Redirect{})
 		return
 	}
-	n.redirected[r.Machine] = n.now
 	n.carried[n.nextID] = carried{reply: id, expire: n.now.Add(tuning.RelayTimeout)}
 }
 
@@ -265,6 +273,9 @@
 		n.stepDown("a worker has seen a higher token")
 		return 421, protocol.Redirect{}
 	}
+	if n.claim.unproven {
+		return 503, protocol.ErrorBody{Error: "not sure to lead"}
+	}
 	commands, ok := n.lead.report(r, true)
 	if !ok {
 		return 503, protocol.ErrorBody{Error: "an older report"}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -8,6 +8,7 @@
 
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
+	"golang.org/x/time/rate"
 )
 
 type taskKey struct {
@@ -179,6 +180,7 @@
 	if !m.reported || m.lapsed {
 		m.reported, m.lapsed = true, false
 		m.idleSince = now
+		l.hurry(m) // what was to be ordered waited for a sign of life
 	}
 	if fresh := r.Token == l.n.claim.term; fresh != m.fresh {
 		m.fresh = fresh
@@ -473,29 +475,69 @@
 	return slices.ContainsFunc(m.images, func(i image) bool { return i.name == name })
 }
 
-// sendDirect sends orders that should not wait for the next report, and shows
-// the token to workers that this leader has not heard of.
+// workerCalls paces the calls to workers by what they cost of the controller's
+// share of a core: a new leader that called every worker of a large fleet at
+// once would not come to renew its claim.
+func (n *Node) workerCalls() *rate.Limiter {
+	cores := n.cfg.Cluster.Resources.Cores
+	if cores <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	limit := cores * tuning.OrderShare / tuning.OrderCost.Seconds()
+	return rate.NewLimiter(rate.Limit(limit), max(tuning.OrdersLeast, int(limit)))
+}
+
+// mayCall says whether a worker may be called now. Calls that can wait leave
+// half of the pace and of the sockets to orders: probes of a dark zone hang
+// for their whole time.
+func (l *leader) mayCall(canWait bool) bool {
+	sockets := max(tuning.OrdersLeast, int(float64(l.n.cfg.Cluster.Resources.FDLimit)*tuning.WorkerSockets))
+	if !canWait {
+		return l.calling < sockets && l.calls.TokensAt(l.n.now) >= 1
+	}
+	return l.calling < sockets/2 && (l.calls.Limit() == rate.Inf || l.calls.TokensAt(l.n.now) >= float64(l.calls.Burst())/2)
+}
+
+// call makes a call to a worker.
+func (l *leader) call(m *machine, method, path string, body any, done func(status int, body []byte)) {
+	l.calls.AllowN(l.n.now, 1)
+	l.calling++
+	l.n.request(ToWorker, m.address, method, path, body, tuning.ProbeTimeout, func(status int, body []byte) {
+		l.calling--
+		if l.n.lead == l {
+			done(status, body)
+		}
+	})
+}
+
+// sendDirect sends orders that should not wait for the next report.
 func (l *leader) sendDirect() {
+	if !l.n.acting() {
+		return
+	}
 	now := l.n.now
 	list := l.hurried
 	l.hurried = nil
 	for _, m := range list {
 		m.urgent = false
-		if m.deleting || l.machines[m.id] != m || !m.reported && m.session == 0 {
+		if m.deleting || l.machines[m.id] != m || !m.reported {
 			continue
 		}
-		if m.busy || m.address == "" || now.Before(m.directAt) || m.reported && !l.recent(m) {
+		if m.busy || m.address == "" || now.Before(m.directAt) || !l.recent(m) || !l.mayCall(false) {
 			l.hurry(m)
 			continue
 		}
-		var cmds []protocol.Command
-		if m.reported {
-			cmds = l.orders(m, false)
-			if len(cmds) == 0 {
-				continue
-			}
+		if cmds := l.orders(m, false); len(cmds) > 0 {
+			l.direct(m, cmds)
 		}
-		l.direct(m, cmds)
+	}
+}
+
+// showToken shows the token to a worker with tasks that has not reported to
+// this leader, if there is time: most of them report by themselves.
+func (l *leader) showToken(m *machine) {
+	if !m.reported && m.session > 0 && !m.busy && !m.deleting && m.address != "" && !l.n.now.Before(m.directAt) && l.mayCall(true) {
+		l.direct(m, nil)
 	}
 }
 
@@ -513,10 +555,7 @@
 	}
 	m.busy = true
 	body := protocol.Orders{Token: l.n.claim.term, Session: m.session, Commands: cmds}
-	l.n.request(ToWorker, m.address, "POST", protocol.PathOrders, body, tuning.ProbeTimeout, func(status int, body []byte) {
-		if l.n.lead != l {
-			return
-		}
+	l.call(m, "POST", protocol.PathOrders, body, func(status int, body []byte) {
 		m.busy = false
 		for _, c := range starts {
 			c.direct--
@@ -529,7 +568,10 @@
 		if status != 200 && status != 409 {
 			m.missed = max(m.missed, 1)
 			m.directAt = l.n.now.Add(tuning.StopResend)
-			if len(m.copies) > 0 || !m.reported {
+			switch {
+			case !m.reported:
+				m.directAt = l.n.now.Add(l.silence()) // others have their turn
+			case len(m.copies) > 0:
 				l.hurry(m)
 			}
 			return
@@ -609,6 +651,7 @@
 		if l.n.lead != l {
 			return
 		}
+		l.showToken(m)
 		if l.booting(m) || l.recent(m) && !l.deaf(m) || now.Sub(l.since) < l.silence() {
 			continue
 		}
@@ -619,7 +662,7 @@
 				l.drop(c)
 			}
 		}
-		if !m.probing && !now.Before(m.probeAt) && m.address != "" && !m.deleting {
+		if !m.probing && !now.Before(m.probeAt) && m.address != "" && !m.deleting && l.mayCall(true) {
 			l.probe(m)
 		}
 		if m.lapsed && m.address == "" && !m.deleting {
@@ -677,10 +720,7 @@
 // probe asks a silent worker for its report.
 func (l *leader) probe(m *machine) {
 	m.probing = true
-	l.n.request(ToWorker, m.address, "GET", protocol.PathInspect, nil, tuning.ProbeTimeout, func(status int, body []byte) {
-		if l.n.lead != l {
-			return
-		}
+	l.call(m, "GET", protocol.PathInspect, nil, func(status int, body []byte) {
 		m.probing, m.probeAt = false, l.n.now.Add(tuning.ProbeTimeout)
 		if status != 200 {
 			m.probes++
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -13,6 +13,9 @@
 	ClaimTTL = 3 * time.Second
 	// ClaimRenew is how often the claim is renewed: three tries within the TTL.
 	ClaimRenew = 900 * time.Millisecond
+	// Standstill is the pause between two steps of a node from which on its claim
+	// may have lapsed and been taken: it ticks ten times a second.
+	Standstill = ClaimTTL - ClaimRenew
 	// ClaimRetry is the pause after a failed attempt to claim.
 	ClaimRetry = 200 * time.Millisecond
 	// AuthorityMargin is kept free between grace + worker lease and the time a
@@ -124,9 +127,17 @@
 	ZoneSilentShare = 0.5
 	// RelayMemory is how long a follower remembers that it redirected a worker;
 	// one that comes back within it could not reach the leader and is carried.
-	RelayMemory = 30 * time.Second
+	RelayMemory = time.Minute
 	// RelayTimeout bounds a carried report; the worker gives up after 4 s.
 	RelayTimeout = 3 * time.Second
+	// OrderCost is about what a call to a worker costs of a core: a connection, a
+	// request, an answer with its report.
+	OrderCost = 300 * time.Microsecond
+	// OrderShare is the part of the controller's processor time for calls to
+	// workers. What waits goes with the answer to the next report.
+	OrderShare = 0.25
+	// OrdersLeast is the number of calls that may always be made at once.
+	OrdersLeast = 32
 	// StopGrace is added to a job's saving time in an orderly stop, seconds.
 	StopGrace = 3.0
 	// StopResend is the pause before a direct order is repeated.
