Workers beyond the sockets' share report on connections of their own; answers go first

At 1,966 machines a controller of 2,127 sockets accepted 1,701 connections and kept them for ever: the rest of the workers, users and health checks waited in the backlog until siblings carried them, and a leader that was alone would have lost them. Connections beyond the workers' share (68% of the sockets; 50% for users) are now closed after the answer; idle ones are let go after 20 s. The renewal of the claim no longer stands behind the reports of the whole fleet. The test fails with connections kept.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -40,10 +40,9 @@
 	return &clients{
 		state: "http://" + cfg.Endpoints.State, cloud: "http://" + cfg.Endpoints.Cloud,
 		outside: client(2*tuning.ConnsPerHost, tuning.ConnsPerHost),
-		workers: client(tuning.WorkerConns, 1),
-		// A new leader calls every worker with tasks: the sockets must also do
-		// for those that report to it at the same moment.
-		calls:   make(chan struct{}, max(8, int(float64(cfg.Cluster.Resources.FDLimit)*tuning.WorkerSockets))),
+		workers: client(max(tuning.SocketsLeast, int(float64(cfg.Cluster.Resources.FDLimit)*tuning.WorkerConns)), 1),
+		// The node bounds its calls by the same share; this holds whatever it does.
+		calls:   make(chan struct{}, max(tuning.OrdersLeast, int(float64(cfg.Cluster.Resources.FDLimit)*tuning.WorkerSockets))),
 		answers: answers,
 	}
 }
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -12,7 +12,7 @@
 type metrics struct {
 	registry                                       *prometheus.Registry
 	sheds                                          prometheus.Counter
-	term, leading, machines, waiting, queue        prometheus.Gauge
+	term, leading, machines, waiting, queue, conns prometheus.Gauge
 	commits, conflicts, repairs, preempted, starts prometheus.Counter
 	commitSeconds, waitSeconds                     prometheus.Histogram
 	last                                           coordination.Metrics
@@ -41,6 +41,7 @@
 	m.machines = gauge("gappond_machines", "Machines known to the leader.")
 	m.waiting = gauge("gappond_jobs_waiting", "Jobs that wait for machines.")
 	m.queue = gauge("gappond_queue_depth", "Events waiting for the owner.")
+	m.conns = gauge("gappond_connections", "Open connections of users and workers.")
 	m.commits = counter("gappond_commits_total", "Transactions committed by the leader.")
 	m.conflicts = counter("gappond_commit_conflicts_total", "Transactions whose guard failed.")
 	m.repairs = counter("gappond_repairs_total", "Tasks placed again.")
@@ -56,7 +57,7 @@
 }
 
 // take moves the node's counters into the registry. The owner calls it.
-func (m *metrics) take(n *coordination.Node, queues ...int) {
+func (m *metrics) take(n *coordination.Node, connections int, queues ...int) {
 	now := n.TakeMetrics()
 	m.term.Set(float64(now.Term))
 	m.leading.Set(0)
@@ -65,6 +66,7 @@
 	}
 	m.machines.Set(float64(now.Machines))
 	m.waiting.Set(float64(now.Waiting))
+	m.conns.Set(float64(connections))
 	depth := 0
 	for _, q := range queues {
 		depth += q
--- a/internal/transport/owner.go
+++ b/internal/transport/owner.go
@@ -15,18 +15,21 @@
 	"github.com/gappond/gappond/internal/tuning"
 )
 
-// Owner is the one owner of all state. It works through two queues of events
-// in batches: what workers, the cloud, the state service and siblings say goes
-// before what users ask.
+// Owner is the one owner of all state. It works through three queues of events
+// in batches: answers to what the node asked (the renewal of its claim among
+// them) and what siblings say go before workers' reports, and these before what
+// users ask.
 type Owner struct {
 	cfg     *config.Config
 	log     *slog.Logger
 	node    *coordination.Node
+	answers chan coordination.Event
 	urgent  chan coordination.Event
 	users   chan coordination.Event
 	clients *clients
 	peers   *peers
 	metrics *metrics
+	conns   *connections
 	ready   atomic.Bool
 
 	mu      sync.Mutex
@@ -38,13 +41,15 @@
 func NewOwner(cfg *config.Config, log *slog.Logger, node *coordination.Node) *Owner {
 	o := &Owner{
 		cfg: cfg, log: log, node: node,
-		urgent:  make(chan coordination.Event, tuning.QueueLen),
+		answers: make(chan coordination.Event, tuning.QueueLen),
+		urgent:  make(chan coordination.Event, max(tuning.QueueLen, cfg.Cluster.Resources.FDLimit)),
 		users:   make(chan coordination.Event, tuning.QueueUsers),
 		metrics: newMetrics(),
+		conns:   newConnections(cfg.Cluster.Resources.FDLimit),
 		waiting: map[uint64]chan coordination.Reply{},
 	}
-	o.clients = newClients(cfg, o.urgent)
-	o.peers = newPeers(cfg, log, o.urgent)
+	o.clients = newClients(cfg, o.answers)
+	o.peers = newPeers(cfg, log, o.answers)
 	return o
 }
 
@@ -72,27 +77,37 @@
 	tick := time.NewTicker(tuning.Tick)
 	defer tick.Stop()
 	var batch []coordination.Event
-	for {
-		batch = batch[:0]
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		case e := <-o.urgent:
-			batch = append(batch, e)
-		case e := <-o.users:
-			batch = append(batch, e)
+	for ctx.Err() == nil {
+		batch = o.next(batch[:0])
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			case e := <-o.answers:
+				batch = append(batch, e)
+			case e := <-o.urgent:
+				batch = append(batch, e)
+			case e := <-o.users:
+				batch = append(batch, e)
+			}
+			batch = o.next(batch)
 		}
-		batch = drain(batch, o.urgent, tuning.BatchUrgent)
-		batch = drain(batch, o.users, tuning.BatchUsers)
 		for _, a := range o.node.Step(time.Now(), batch) {
 			o.do(a)
 		}
 		o.ready.Store(o.node.Ready())
-		o.metrics.take(o.node, len(o.urgent), len(o.users))
+		o.metrics.take(o.node, int(o.conns.open.Load()), len(o.answers), len(o.urgent), len(o.users))
 	}
 }
 
+// next adds what waits to the batch, each kind by its rank and up to its limit.
+func (o *Owner) next(batch []coordination.Event) []coordination.Event {
+	batch = drain(batch, o.answers, tuning.BatchUrgent)
+	batch = drain(batch, o.urgent, tuning.BatchUrgent)
+	return drain(batch, o.users, tuning.BatchUsers)
+}
+
 // drain moves up to limit events that wait in a queue into the batch.
 func drain(batch []coordination.Event, queue chan coordination.Event, limit int) []coordination.Event {
 	for range limit {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -21,8 +21,8 @@
 	if err != nil {
 		return err
 	}
-	if fd := o.cfg.Cluster.Resources.FDLimit; fd > 0 {
-		ln = netutil.LimitListener(ln, max(16, int(float64(fd)*tuning.ServerSockets)))
+	if o.conns.most > 0 {
+		ln = netutil.LimitListener(ln, o.conns.most)
 	}
 	srv := &http.Server{
 		Handler:           o.handler(),
@@ -32,6 +32,7 @@
 		IdleTimeout:       tuning.IdleServer,
 		MaxHeaderBytes:    16 << 10,
 		ErrorLog:          nil,
+		ConnState:         o.conns.track,
 	}
 	context.AfterFunc(ctx, func() { srv.Close() })
 	go func() { failed <- srv.Serve(ln) }()
@@ -87,6 +88,7 @@
 }
 
 func (o *Owner) handleSubmit(w http.ResponseWriter, r *http.Request) {
+	o.conns.bound(o.conns.keepUsers, w)
 	body, ok := readBody(w, r)
 	if !ok {
 		return
@@ -103,6 +105,7 @@
 
 // askJob asks the owner about the job that the path names.
 func (o *Owner) askJob(w http.ResponseWriter, r *http.Request, event func(id uint64, job string) coordination.Event) {
+	o.conns.bound(o.conns.keepUsers, w)
 	job := r.PathValue("id")
 	if !protocol.ValidID(job) {
 		refuse(w, http.StatusNotFound, "no such job")
@@ -122,6 +125,7 @@
 }
 
 func (o *Owner) handleReport(w http.ResponseWriter, r *http.Request) {
+	o.conns.bound(o.conns.keepWorkers, w)
 	body, ok := readBody(w, r)
 	if !ok {
 		return
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -118,7 +118,7 @@
 	return ln.Addr().String()
 }
 
-func startOwner(t *testing.T, up bool) (*config.Config, *cloudStub) {
+func startOwner(t *testing.T, up bool, sockets int) (*config.Config, *cloudStub) {
 	t.Helper()
 	state := httptest.NewServer(&stateStub{keys: map[string]protocol.Entry{}, changed: make(chan struct{})})
 	stub := &cloudStub{up: up}
@@ -128,7 +128,8 @@
 		Endpoints: config.Endpoints{State: state.Listener.Addr().String(), Cloud: cloud.Listener.Addr().String()},
 		Cluster: config.Cluster{Zones: []string{"a"}, Teams: []config.Team{{Name: "vision", MaxGPUs: 4}},
 			Workers: config.Workers{ReportS: 3, LeaseS: 24, GangWaitS: 40, GangPeerS: 4, CancelS: 49},
-			State:   config.State{RPS: 80, WriteRPS: 15, ValueKB: 8, TxnOps: 12}, Cloud: config.Cloud{RPS: 6, ListLagS: 6}}}
+			State:   config.State{RPS: 80, WriteRPS: 15, ValueKB: 8, TxnOps: 12}, Cloud: config.Cloud{RPS: 6, ListLagS: 6},
+			Resources: config.Resources{FDLimit: sockets}}}
 	log := slog.New(slog.DiscardHandler)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -182,7 +183,7 @@
 }
 
 func TestStatuses(t *testing.T) {
-	cfg, _ := startOwner(t, true)
+	cfg, _ := startOwner(t, true, 0)
 	eventually(t, "ready", ready(t, cfg))
 	// The first node to be started leads; until then nothing is lost by asking.
 	for _, c := range []struct {
@@ -222,7 +223,7 @@
 // TestTypesUnknown: until the machine types are known a submission is answered
 // at once with 503 and when to come back.
 func TestTypesUnknown(t *testing.T) {
-	cfg, cloud := startOwner(t, false)
+	cfg, cloud := startOwner(t, false, 0)
 	var status int
 	var header http.Header
 	eventually(t, "listening", func() bool {
@@ -244,7 +245,7 @@
 // TestSlowClient: a client that stalls in the middle of a request is cut off,
 // and others are answered meanwhile.
 func TestSlowClient(t *testing.T) {
-	cfg, _ := startOwner(t, true)
+	cfg, _ := startOwner(t, true, 0)
 	eventually(t, "ready", ready(t, cfg))
 	conn, err := net.Dial("tcp", cfg.Listen)
 	if err != nil {
@@ -264,7 +265,7 @@
 // TestWrongPeers: a peer that sends anything but sound frames is cut off, and
 // the node goes on.
 func TestWrongPeers(t *testing.T) {
-	cfg, _ := startOwner(t, true)
+	cfg, _ := startOwner(t, true, 0)
 	eventually(t, "ready", ready(t, cfg))
 	good := protocol.AppendPeer(nil, protocol.PeerHello{Node: "n1"})
 	old := bytes.Clone(good)
@@ -325,7 +326,7 @@
 // TestFlood: stalled connections and a flood of polls for jobs that nobody knows
 // leave every worker's report its answer; each poll has one, too.
 func TestFlood(t *testing.T) {
-	cfg, _ := startOwner(t, true)
+	cfg, _ := startOwner(t, true, 0)
 	eventually(t, "ready", ready(t, cfg))
 	for range 100 {
 		conn, err := net.Dial("tcp", cfg.Listen)
@@ -368,3 +369,80 @@
 func report(seq int) string {
 	return fmt.Sprintf(`{"berth":"i-1","address":"127.0.0.1:1","build":"big","yard":"a","loaners":false,"tenure":1,"tally":%d,"warrant":0,"recall_s":null,"pieces":[]}`, seq)
 }
+
+// TestMoreWorkersThanSockets: a fleet of more workers than the process has
+// sockets has every report answered, and users and health checks are not kept
+// waiting: beyond their share connections are closed after the answer.
+func TestMoreWorkersThanSockets(t *testing.T) {
+	const sockets, workers, users = 100, 200, 60
+	cfg, _ := startOwner(t, true, sockets)
+	eventually(t, "ready", ready(t, cfg))
+	var clients sync.WaitGroup
+	var failed atomic.Int32
+	stop := make(chan struct{})
+	// loop sends a request again and again over a connection that is kept for as
+	// long as the server keeps it.
+	loop := func(request func(i int) (method, path, body string)) {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			client := &http.Client{Transport: &http.Transport{}, Timeout: 2 * time.Second}
+			defer client.CloseIdleConnections()
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+				method, path, body := request(i)
+				req, err := http.NewRequest(method, "http://"+cfg.Listen+path, strings.NewReader(body))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				resp, err := client.Do(req)
+				if err != nil {
+					failed.Add(1)
+					continue
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		}()
+	}
+	for k := range workers {
+		loop(func(i int) (string, string, string) {
+			return "POST", protocol.PathReport, strings.Replace(report(i+1), "i-1", fmt.Sprint("i-", 100+k), 1)
+		})
+	}
+	for range users {
+		loop(func(int) (string, string, string) { return "GET", "/v2/runs/run-000009", "" })
+	}
+	for range 30 {
+		if !ready(t, cfg)() {
+			failed.Add(1)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	close(stop)
+	clients.Wait()
+	if n := failed.Load(); n > 0 {
+		t.Errorf("%d requests were not answered", n)
+	}
+}
+
+// TestAnswersFirst: the renewal of the claim is not behind the reports of a
+// whole fleet: answers to what the node asked are taken first.
+func TestAnswersFirst(t *testing.T) {
+	cfg := &config.Config{Name: "n0", Operator: tuning.Defaults()}
+	log := slog.New(slog.DiscardHandler)
+	o := NewOwner(cfg, log, coordination.New(cfg, log, 1, "boot"))
+	for range 2 * tuning.BatchUrgent {
+		o.urgent <- coordination.WorkerReport{Report: &protocol.Report{}}
+	}
+	o.clients.answers <- coordination.Response{ID: 1}
+	batch := o.next(nil)
+	if _, ok := batch[0].(coordination.Response); !ok || len(batch) != 1+tuning.BatchUrgent {
+		t.Errorf("a batch of %d begins with %T", len(batch), batch[0])
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -335,13 +335,15 @@
 	DialTimeout = time.Second
 	// ConnsPerHost bounds the connections to one outside system.
 	ConnsPerHost = 16
-	// WorkerConns is how many idle connections to workers are kept.
-	WorkerConns = 64
+	// WorkerConns is the share of the socket limit for idle connections to
+	// workers; they must not take the rest from accepted ones.
+	WorkerConns = 0.03
 	// IdleConn is how long an idle connection to a worker or outside system is kept.
-	IdleConn = 60 * time.Second
+	IdleConn = 20 * time.Second
 	// IdleServer is how long an idle connection of a user or worker is kept:
-	// users poll every 5 s, workers report more often.
-	IdleServer = 60 * time.Second
+	// users poll every 5 s, workers report as often. Connections of machines that
+	// hang or are behind a cut are let go.
+	IdleServer = 20 * time.Second
 	// ReadTimeout bounds the reading of one request, so that slow or half-open
 	// clients never hold a socket for long.
 	ReadTimeout = 5 * time.Second
@@ -352,6 +354,14 @@
 	MaxAnswer = 32 << 20
 	// ServerSockets is the share of the socket limit for users and workers.
 	ServerSockets = 0.8
+	// KeptSockets is the share up to which a worker's connection is kept open
+	// between two reports; the rest are for workers that come for one report and
+	// for the load balancer's probes.
+	KeptSockets = 0.68
+	// UserSockets is the same for users: workers' reports go first.
+	UserSockets = 0.5
+	// SocketsLeast is the least of these numbers, whatever the limit.
+	SocketsLeast = 16
 	// WorkerSockets is the share for calls to workers under way; the links to
 	// siblings and outside systems need a few dozen.
 	WorkerSockets = 0.08
