The leader's decisions have all the writes that users and mail leave

It now counts what others write from its watch and uses the rest, down to a fifth of the burst. Marks of done tasks, which ride along with the next place, are no longer urgent after 1.5 s.

--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -40,9 +40,10 @@
 	bytes   int
 	tx      *commit
 	guarded map[*rack]bool
+	most    int // changes that it may have
 }
 
-func (b *batch) room() int { return b.l.n.cfg.Cluster.State.TxnOps - len(b.txn.Then) }
+func (b *batch) room() int { return b.most - len(b.txn.Then) }
 
 func (b *batch) fits(ops, conditions, bytes int) bool {
 	return b.room() >= ops && len(b.txn.If)+conditions <= 4*b.l.n.cfg.Cluster.State.TxnOps && b.bytes+bytes <= tuning.TxnBytes
@@ -71,17 +72,18 @@
 	if l.inFlight != nil || l.n.now.Before(l.commitAt) {
 		return
 	}
-	tokens := l.n.writes.TokensAt(l.n.now)
+	burst := float64(l.n.writes.Burst())
+	tokens := l.n.writes.TokensAt(l.n.now) - burst*tuning.UserFloor
 	if tokens < 1 {
 		return
 	}
 	tx := &commit{writer: l.n.unique(), sent: l.n.now}
-	b := &batch{l: l, tx: tx, guarded: map[*rack]bool{}}
+	b := &batch{l: l, tx: tx, guarded: map[*rack]bool{}, most: min(l.n.cfg.Cluster.State.TxnOps, int(tokens))}
 	b.guard(bookkeeping.ClaimKey, l.n.claim.term)
 	b.addRacks(func(r *rack) bool { return r.queued })
 	var later []*job
 	list, urgent, ready := l.byUrgency()
-	reserve := float64(l.n.writes.Burst()) * tuning.GangReserve
+	reserve := burst * tuning.GangReserve
 	for i, j := range list {
 		j.queued = false
 		if i < urgent || i < ready && float64(len(b.txn.Then)+2) <= tokens-reserve {
@@ -93,7 +95,7 @@
 		}
 	}
 	l.dirty = later
-	if tokens >= float64(l.n.writes.Burst())/2 {
+	if tokens >= burst/2 {
 		b.addRacks(func(r *rack) bool { return !r.stale.IsZero() && l.n.now.Sub(r.stale) > tuning.StaleWait })
 	}
 	for len(l.cleanup) > 0 && b.fits(1, 0, 200) {
@@ -104,8 +106,7 @@
 	if len(b.txn.Then) == 0 {
 		return
 	}
-	// A batch may run into debt, which the next one waits out.
-	l.n.writes.ReserveN(l.n.now, min(len(b.txn.Then), l.n.writes.Burst()))
+	l.n.writes.AllowN(l.n.now, len(b.txn.Then))
 	tx.body = bookkeeping.Encode(b.txn)
 	l.inFlight = tx
 	l.send(tx)
@@ -114,10 +115,10 @@
 // byUrgency orders the jobs with unwritten changes: gangs with new places
 // first, by priority, then arrays with new places and ends in the order that
 // they came, then the marks of single tasks that are done, which their workers
-// go on reporting until they are stored. The first ones are urgent: they may
-// run the budget into debt, and a part of it is kept for them. So is what has
-// waited long. Marks are not ready at once: the tasks of an array end one after
-// the other.
+// go on reporting until they are stored. The first ones are urgent: a part of
+// the budget is kept for them. So is what has waited long. Marks are not ready
+// at once: the tasks of an array end one after the other, and mostly their
+// record is written with the next place anyway.
 func (l *leader) byUrgency() (list []*job, urgent, ready int) {
 	type entry struct {
 		j     *job
@@ -131,7 +132,7 @@
 		}
 		e := entry{j, 3}
 		switch age := l.n.now.Sub(j.dirtySince); {
-		case j.spec.Gang() && j.placing() || age > tuning.WriteWait:
+		case j.spec.Gang() && j.placing() || age > tuning.MarkLate || age > tuning.WriteWait && (j.placing() || j.finalPhase() != ""):
 			e.class = 0
 			urgent++
 			ready++
--- a/internal/coordination/mail.go
+++ b/internal/coordination/mail.go
@@ -47,6 +47,7 @@
 		}
 		txn := protocol.Txn{Then: []protocol.Change{{Set: bookkeeping.MailKey(n.cfg.Name, s.Name),
 			Value: bookkeeping.Encode(bookkeeping.Mail{Writer: n.unique(), Frames: box.frames})}}}
+		n.spend()
 		box.frames, box.sending = nil, true
 		box.sendAt = n.now.Add(tuning.MailEvery)
 		n.state("POST", protocol.PathTxn, txn, func(int, []byte) {
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -5,6 +5,7 @@
 package coordination
 
 import (
+	"bytes"
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
@@ -190,18 +191,30 @@
 	return n
 }
 
-// setShares divides the state service's budgets: most of the writes for the
-// leader's decisions, a part for the users of every node, a part for mail;
-// requests in equal parts.
+// setShares divides the state service's budgets. Of the writes the users of
+// every node and mail have parts of their own; the leader's decisions have
+// whatever these leave, which it knows from the changes that its watch sees.
+// Requests are divided in equal parts.
 func (n *Node) setShares() {
 	budget := func(limit float64, burst int) *rate.Limiter {
 		return rate.NewLimiter(rate.Limit(limit), max(burst, int(limit)))
 	}
 	nodes, state := float64(len(n.cfg.Siblings)+1), n.cfg.Cluster.State
 	n.calls = budget(state.RPS*tuning.CallShare/nodes, 1)
-	n.writes = budget(state.WriteRPS*tuning.LeaderShare, state.TxnOps)
+	n.writes = budget(state.WriteRPS*tuning.WriteShare, 1)
 	n.admits = budget(state.WriteRPS*tuning.UserShare/nodes, state.TxnOps)
-	n.letters = budget(state.WriteRPS*(1-tuning.LeaderShare-tuning.UserShare)/nodes, state.TxnOps)
+	n.letters = budget(state.WriteRPS*tuning.MailShare/nodes, state.TxnOps)
+}
+
+// spend takes one write from what the state service accepts: one of this node's
+// own or one that the watch shows. It never runs into debt: what was missed in
+// a gap of the watch is over.
+func (n *Node) spend() { n.writes.AllowN(n.now, 1) }
+
+// ownWrite says whether a record was written by this life of this node.
+func (n *Node) ownWrite(value json.RawMessage) bool {
+	rest, ok := bytes.CutPrefix(value, []byte(`{"w":"`))
+	return ok && bytes.HasPrefix(rest, []byte(n.boot+"-"))
 }
 
 // mayRead says whether the budget leaves room for a user's request: what the
@@ -216,10 +229,11 @@
 	if !n.mayRead() {
 		return false
 	}
-	if n.admits.AllowN(n.now, 1) {
+	if n.admits.AllowN(n.now, 1) || n.letters.TokensAt(n.now) > float64(n.letters.Burst())/2 && n.letters.AllowN(n.now, 1) {
+		n.spend()
 		return true
 	}
-	return n.letters.TokensAt(n.now) > float64(n.letters.Burst())/2 && n.letters.AllowN(n.now, 1)
+	return false
 }
 
 // Metrics are the node's counters, read after a step.
@@ -434,6 +448,9 @@
 	for i := range w.Events {
 		ev := &w.Events[i]
 		if n.mirror.Apply(ev) {
+			if ev.Set != "" && !n.ownWrite(ev.Value) {
+				n.spend()
+			}
 			n.changed(ev)
 		}
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -64,14 +64,18 @@
 	// UserDeadline bounds a user's request: users give up polls after 2 s and
 	// submissions after 5 s.
 	UserDeadline = 1800 * time.Millisecond
-	// LeaderShare is the part of the state service's write budget that the
-	// leader's decisions use.
-	LeaderShare = 0.6
+	// WriteShare is the part of the state service's write budget that all nodes
+	// use together; the rest absorbs uneven clocks.
+	WriteShare = 0.95
 	// UserShare is the part that users' submissions and cancellations use, in
-	// equal parts at every node. What is left is for mail: in a cut, each of
-	// hundreds of workers must have a report carried within its lease, and the
-	// answer back.
+	// equal parts at every node.
 	UserShare = 0.2
+	// MailShare is the part for mail: in a cut, each of hundreds of workers must
+	// have a report carried within its lease, and the answer back.
+	MailShare = 0.2
+	// UserFloor is the part of the burst that the leader's decisions leave to
+	// users and mail, whose writes it sees only when they are done.
+	UserFloor = 0.2
 	// CallShare is the part of the state service's request budget that the nodes
 	// use together; the rest absorbs watches and uneven clocks.
 	CallShare = 0.8
@@ -86,6 +90,9 @@
 	GangReserve = 0.25
 	// MarkWait is how long marks of done tasks wait for others of their job.
 	MarkWait = 700 * time.Millisecond
+	// MarkLate is how long they may wait when there is much else to write: what
+	// a machine did is lost with it until it is stored.
+	MarkLate = 5 * time.Second
 	// StaleWait is how long a room record may name machines that are gone: they
 	// take no task, and a machine in its place would be told by its own name.
 	StaleWait = 10 * time.Second
