--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -97,6 +97,9 @@
 	users   []*user
 	rules   *rules
 	steps   int           // of all controllers
+	calls   int           // to workers
+	calling int           // of them under way
+	most    int           // of them under way at once
 	calm    time.Time     // when all troubles were over
 	copies  time.Duration // for so long copies of reports may be late, 0: there are none
 }
@@ -354,6 +357,14 @@
 	case coordination.ToCloud:
 		to, handle = "cloud", func(answer func(int, []byte)) { c.w.cloud.serve(a.Method, a.Path, a.Body, answer) }
 	case coordination.ToWorker:
+		c.w.calls++
+		c.w.calling++
+		c.w.most = max(c.w.most, c.w.calling)
+		answered := done
+		done = func(status int, body []byte) {
+			c.w.calling--
+			answered(status, body)
+		}
 		to, handle = a.Address, func(answer func(int, []byte)) {
 			if k := c.w.workers[a.Address]; k != nil {
 				k.serve(a.Method, a.Path, a.Body, answer)
