--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -295,7 +295,7 @@
 	LateTurn = 5 * time.Minute
 	// SizeTurn is how much later than by its aims alone an array's turn comes for
 	// every task that is not done: when not all can be in time, small ones can.
-	SizeTurn = 500 * time.Millisecond
+	SizeTurn = 1500 * time.Millisecond
 	// HoldFor is how long room freed by preemption is held for its job.
 	HoldFor = 25 * time.Second
 )
