Calls without a share of a core, two changes a second, keys of finished jobs

Found on reading the change: where the settings give no share of a core no order was sent directly; with two changes a second no job could end; the keys that finished jobs leave took changes that gangs waited for. A test for the first two, which fails without the guards, and one for the count of others' writes.

--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -73,7 +73,8 @@
 		return
 	}
 	burst := float64(l.n.writes.Burst())
-	tokens := l.n.writes.TokensAt(l.n.now) - burst*tuning.UserFloor
+	// The end of a job takes two changes, however few a second there are.
+	tokens := l.n.writes.TokensAt(l.n.now) - min(burst*tuning.UserFloor, burst-2)
 	if tokens < 1 {
 		return
 	}
@@ -97,11 +98,11 @@
 	l.dirty = later
 	if tokens >= burst/2 {
 		b.addRacks(func(r *rack) bool { return !r.stale.IsZero() && l.n.now.Sub(r.stale) > tuning.StaleWait })
-	}
-	for len(l.cleanup) > 0 && b.fits(1, 0, 200) {
-		b.remove(l.cleanup[0])
-		tx.deletes = append(tx.deletes, l.cleanup[0])
-		l.cleanup = l.cleanup[1:]
+		for len(l.cleanup) > 0 && b.fits(1, 0, 200) {
+			b.remove(l.cleanup[0])
+			tx.deletes = append(tx.deletes, l.cleanup[0])
+			l.cleanup = l.cleanup[1:]
+		}
 	}
 	if len(b.txn.Then) == 0 {
 		return
--- a/internal/coordination/fleet_size_test.go
+++ b/internal/coordination/fleet_size_test.go
@@ -95,6 +95,50 @@
 	}
 }
 
+// TestNoLimits: without a share of a core in the settings calls are not paced,
+// and with two changes a second jobs still end.
+func TestNoLimits(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	if !l.mayCall(false) || !l.mayCall(true) {
+		t.Error("no worker may be called")
+	}
+	n := l.n
+	n.cfg.Cluster.State.WriteRPS = 2
+	n.setShares()
+	j := l.testJob(gangOf(1, 1))
+	l.setDone(j, 0)
+	for range 30 {
+		n.now = n.now.Add(tuning.Tick)
+		l.commitNext()
+	}
+	if _, writes := sentTo(n.out, ToState, protocol.PathTxn); writes != 1 || l.inFlight == nil || l.inFlight.jobs[0].final == nil {
+		t.Errorf("%d transactions: the end of the job is not written", writes)
+	}
+}
+
+// TestOthersWritesCount: the leader's decisions have what others leave of the
+// state service's writes, which it learns from its watch; its own it counts when
+// it sends them.
+func TestOthersWritesCount(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	n := l.n
+	free := func() int { return int(n.writes.TokensAt(n.now) + 0.5) }
+	before := free()
+	watch := protocol.WatchAnswer{Revision: 90}
+	for i, writer := range []string{n.unique(), "other-1", "other-2"} {
+		s := gangOf(1, 1)
+		s.ID, s.Priority = fmt.Sprintf("run-%06d", 50+i), "high"
+		watch.Events = append(watch.Events, protocol.WatchEvent{Set: bookkeeping.JobKey(s.ID), Stamp: uint64(80 + i),
+			Value: bookkeeping.Encode(bookkeeping.Job{Writer: writer, Spec: &s, Chunk: 60})})
+	}
+	n.mirror.BeginLoad()
+	n.mirror.LoadPage(&protocol.Entries{Revision: 70})
+	n.watched(200, bookkeeping.Encode(watch))
+	if got := before - free(); got != 2 {
+		t.Errorf("%d writes counted of two by others and one of its own", got)
+	}
+}
+
 // TestStandstill: a leader that stood still for seconds, its clocks running on,
 // answers no report, sends no order and writes nothing before its claim was
 // renewed; one whose claim must have lapsed meanwhile leads no more.
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -201,7 +201,7 @@
 	}
 	nodes, state := float64(len(n.cfg.Siblings)+1), n.cfg.Cluster.State
 	n.calls = budget(state.RPS*tuning.CallShare/nodes, 1)
-	n.writes = budget(state.WriteRPS*tuning.WriteShare, 1)
+	n.writes = budget(state.WriteRPS*tuning.WriteShare, 2)
 	n.admits = budget(state.WriteRPS*tuning.UserShare/nodes, state.TxnOps)
 	n.letters = budget(state.WriteRPS*tuning.MailShare/nodes, state.TxnOps)
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -492,10 +492,12 @@
 // for their whole time.
 func (l *leader) mayCall(canWait bool) bool {
 	sockets := max(tuning.OrdersLeast, int(float64(l.n.cfg.Cluster.Resources.FDLimit)*tuning.WorkerSockets))
-	if !canWait {
-		return l.calling < sockets && l.calls.TokensAt(l.n.now) >= 1
+	pace := 1.0
+	if canWait {
+		sockets /= 2
+		pace = float64(l.calls.Burst()) / 2
 	}
-	return l.calling < sockets/2 && (l.calls.Limit() == rate.Inf || l.calls.TokensAt(l.n.now) >= float64(l.calls.Burst())/2)
+	return l.calling < sockets && (l.calls.Limit() == rate.Inf || l.calls.TokensAt(l.n.now) >= pace)
 }
 
 // call makes a call to a worker.
