Siblings answer workers for a leader with a small share of a core

Half of its time went to reports: a report costs some 100 us of charged time, mostly system calls, and beyond 1,360 connections each report opened a new one. So the leader keeps as many workers as 15% of its share and its sockets pay for; the siblings answer the rest in equal parts, by hash, and carry their reports over the links, gathered into few writes. While a link is missing whoever a worker comes to carries it. Reports that come while nobody leads wait for the next leader, 3 s at most, instead of going round the nodes. Large shares keep all workers: nothing changes.

--- a/internal/coordination/fleet_size_test.go
+++ b/internal/coordination/fleet_size_test.go
@@ -207,7 +207,7 @@
 		seq++
 		for _, p := range n.peers {
 			p.heard = n.now.Add(after)
-			p.status.Links = []string{"first", "second"}
+			p.status = protocol.PeerStatus{Term: n.claim.stamp, Leader: n.claim.holder, Keeps: tuning.KeepsAll, Links: []string{"first", "second"}}
 		}
 		out := n.Step(n.now.Add(after), []Event{WorkerReport{ID: seq, Report: &protocol.Report{Machine: "i-1", Session: 1, Seq: seq}}})
 		for _, a := range out {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -133,6 +133,7 @@
 	l := &leader{n: n, since: n.now, jobs: map[string]*job{}, machines: map[string]*machine{}, teams: map[string]*team{}, plan: true,
 		calls: n.workerCalls(), fleet: newFleet(n.cfg.Cluster.Cloud.RPS)}
 	n.lead = l
+	n.beatAt = n.now  // the siblings learn how many workers it keeps
 	n.typesAt = n.now // today's prices, and a record of the types if there is none
 	for _, t := range n.cfg.Cluster.Teams {
 		l.teams[t.Name] = &team{guaranteeCPUs: t.CPUs, guaranteeGPUs: t.GPUs, maxCPUs: t.MaxCPUs, maxGPUs: t.MaxGPUs}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -161,13 +161,15 @@
 	claim claimState
 	lead  *leader
 
-	peers      map[string]*peer
-	beatAt     time.Time
-	carried    map[uint64]carried   // requests that siblings answer
-	expireAt   time.Time            // when they are looked over for late ones
-	carriedIn  map[uint64]carriedIn // requests of siblings that this node answers
-	redirected map[string]redirect
-	mail       map[string]*mailbox
+	names     []string // of all controllers, in order
+	peers     map[string]*peer
+	beatAt    time.Time
+	carried   map[uint64]carried   // requests that siblings answer
+	expireAt  time.Time            // when they are looked over for late ones
+	carriedIn map[uint64]carriedIn // requests of siblings that this node answers
+	contacts  map[string]contact   // workers that report here, or did
+	parked    []parked
+	mail      map[string]*mailbox
 }
 
 // New makes a node. The seed feeds its random pauses; boot tells this life of
@@ -175,19 +177,22 @@
 func New(cfg *config.Config, log *slog.Logger, seed uint64, boot string) *Node {
 	n := &Node{
 		cfg: cfg, log: log, boot: boot,
-		rng:        rand.New(rand.NewPCG(seed, 1)),
-		pending:    map[uint64]func(int, []byte){},
-		types:      map[string]*protocol.MachineType{},
-		finals:     map[string]bookkeeping.Final{},
-		peers:      map[string]*peer{},
-		carried:    map[uint64]carried{},
-		carriedIn:  map[uint64]carriedIn{},
-		redirected: map[string]redirect{},
-		mail:       map[string]*mailbox{},
-	}
+		rng:       rand.New(rand.NewPCG(seed, 1)),
+		pending:   map[uint64]func(int, []byte){},
+		types:     map[string]*protocol.MachineType{},
+		finals:    map[string]bookkeeping.Final{},
+		peers:     map[string]*peer{},
+		carried:   map[uint64]carried{},
+		carriedIn: map[uint64]carriedIn{},
+		contacts:  map[string]contact{},
+		mail:      map[string]*mailbox{},
+	}
+	n.names = []string{cfg.Name}
 	for _, s := range cfg.Siblings {
 		n.peers[s.Name] = &peer{}
+		n.names = append(n.names, s.Name)
 	}
+	slices.Sort(n.names)
 	n.setShares()
 	return n
 }
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -22,10 +23,18 @@
 	expire time.Time
 }
 
-// redirect is when a worker was sent to which leader.
-type redirect struct {
-	term uint64
-	at   time.Time
+// contact is what a node remembers of a worker that reports to it.
+type contact struct {
+	term    uint64    // of the leader at that time
+	sent    time.Time // when it was sent to another node, zero if it was not
+	fronted time.Time // when this node last answered it for the leader as its front
+}
+
+// parked is a report that came while nobody was known to lead.
+type parked struct {
+	id     uint64
+	report *protocol.Report
+	expire time.Time
 }
 
 // carriedIn is a request that a sibling sent on to this node.
@@ -144,7 +153,11 @@
 }
 
 func (n *Node) tickPeers() {
-	if len(n.carried) > 0 && !n.now.Before(n.expireAt) {
+	late := !n.now.Before(n.expireAt)
+	if len(n.parked) > 0 && (late || n.leaderKnown()) {
+		n.unpark()
+	}
+	if late {
 		n.expireAt = n.now.Add(tuning.ExpireEvery)
 		for id, c := range n.carried {
 			if n.now.After(c.expire) {
@@ -157,12 +170,15 @@
 		return
 	}
 	n.beatAt = n.now.Add(tuning.PeerBeat)
-	for name, sent := range n.redirected {
-		if n.now.Sub(sent.at) > tuning.RelayMemory {
-			delete(n.redirected, name)
+	for name, c := range n.contacts {
+		if n.now.Sub(c.sent) > tuning.RelayMemory && n.now.Sub(c.fronted) > tuning.RelayMemory {
+			delete(n.contacts, name)
 		}
 	}
 	status := protocol.PeerStatus{Term: n.claim.stamp, Leader: n.claim.holder, StateOK: n.now.Sub(n.served) < tuning.ServedLately, Links: n.links()}
+	if n.lead != nil {
+		status.Keeps = n.lead.keeps()
+	}
 	for _, s := range n.cfg.Siblings {
 		p := n.peers[s.Name]
 		if p.up && n.now.Sub(p.heard) > 2*tuning.PeerSilent {
@@ -235,27 +251,78 @@
 	return false
 }
 
-// routeReport answers a worker's report if this node leads. Otherwise it sends
-// the worker to the leader; one that was sent and came back cannot reach the
-// leader, and its reports are carried.
+// keeps is how many of a thousand workers the leader answers itself: what its
+// share of a core and of sockets can pay. The others' reports come over the
+// controllers' links, many in one read.
+func (l *leader) keeps() uint64 {
+	r := l.n.cfg.Cluster.Resources
+	if r.Cores <= 0 || len(l.roster) == 0 {
+		return tuning.KeepsAll
+	}
+	most := r.Cores * tuning.ReportShare / tuning.ReportCost.Seconds() * l.n.cfg.Cluster.Workers.ReportS
+	if r.FDLimit > 0 {
+		most = min(most, float64(r.FDLimit)*tuning.KeptSockets)
+	}
+	// In steps, so that few workers change their front as the fleet grows.
+	steps := uint64(most / float64(len(l.roster)) * tuning.KeepsSteps)
+	return min(steps, tuning.KeepsSteps) * tuning.KeepsAll / tuning.KeepsSteps
+}
+
+// front is the node that answers a worker when all links are there: the leader
+// for as many workers as it keeps, the others in equal parts for the rest. All
+// nodes reckon the same.
+func (n *Node) front(machine, leader string, keeps uint64) string {
+	h := fnv.New32a()
+	h.Write([]byte(machine))
+	sum := uint64(h.Sum32())
+	if sum%tuning.KeepsAll < keeps || len(n.names) < 2 {
+		return leader
+	}
+	at := sum / tuning.KeepsAll % uint64(len(n.names)-1)
+	if n.names[at] >= leader {
+		at++ // the leader is left out
+	}
+	return n.names[at]
+}
+
+// whole says whether every link between controllers that this node knows of is
+// there.
+func (n *Node) whole() bool {
+	links := n.links()
+	if len(links) < len(n.cfg.Siblings) {
+		return false
+	}
+	for _, name := range links {
+		if len(n.peers[name].status.Links) < len(n.cfg.Siblings) {
+			return false
+		}
+	}
+	return true
+}
+
+// routeReport answers a worker's report if this node leads; otherwise the
+// leader's answer is fetched or the worker is sent to it.
 func (n *Node) routeReport(id uint64, r *protocol.Report) {
+	n.forward(id, r, n.now.Add(tuning.RelayTimeout))
+}
+
+func (n *Node) forward(id uint64, r *protocol.Report, expire time.Time) {
 	if n.claim.term != 0 && n.lead != nil {
+		if front := n.front(r.Machine, n.cfg.Name, n.lead.keeps()); front != n.cfg.Name && n.whole() && n.sendAway(id, r, front) {
+			return
+		}
 		status, body := n.takeReport(r)
 		n.reply(id, status, body)
 		return
 	}
 	leader := n.claim.holder
-	if leader == "" || leader == n.cfg.Name {
-		n.reply(id, 503, protocol.ErrorBody{Error: "no leader known"})
+	if !n.leaderKnown() {
+		// The worker would try one node after the other, a second each, until one
+		// leads; all of them at once cost the time that an election needs.
+		n.parked = append(n.parked, parked{id, r, expire})
 		return
 	}
-	// One that is carried is sent to the leader again after a while: the cut that
-	// it was behind may be over, and carrying costs two controllers' time.
-	sent, known := n.redirected[r.Machine]
-	again := known && sent.term == n.claim.stamp && n.now.Sub(sent.at) < tuning.RelayMemory
-	if n.reach(leader) && !n.torn(leader) && !again {
-		n.redirected[r.Machine] = redirect{n.claim.stamp, n.now}
-		n.reply(id, 421, protocol.Redirect{ReportTo: leader})
+	if to := n.redirection(r.Machine, leader); to != "" && n.sendAway(id, r, to) {
 		return
 	}
 	n.nextID++
@@ -263,7 +330,71 @@
 		n.reply(id, 421, protocol.Redirect{})
 		return
 	}
-	n.carried[n.nextID] = carried{reply: id, expire: n.now.Add(tuning.RelayTimeout)}
+	n.carried[n.nextID] = carried{reply: id, expire: expire}
+}
+
+// redirection is the node that a worker should rather report to, "" if this one
+// fetches the leader's answer for it.
+func (n *Node) redirection(machine, leader string) string {
+	c := n.contacts[machine]
+	if !n.reach(leader) {
+		if n.now.Sub(c.fronted) < tuning.RelayMemory {
+			return leader // it is here for the leader's sake, and may well reach it
+		}
+		return ""
+	}
+	if n.torn(leader) {
+		return ""
+	}
+	s := n.peers[leader].status
+	if s.Term != n.claim.stamp || s.Leader != leader {
+		return "" // it has yet to say how many it keeps
+	}
+	to := n.front(machine, leader, s.Keeps)
+	if to != leader && !n.whole() {
+		to = n.cfg.Name // the front may be what is missing
+	}
+	if to == n.cfg.Name {
+		c.fronted = n.now
+		n.contacts[machine] = c
+		return ""
+	}
+	return to
+}
+
+// sendAway sends a worker to another node, unless it was lately and came back: it
+// cannot reach that one then. After a while it is sent again, for the cut may be
+// over, and answering it elsewhere costs more.
+func (n *Node) sendAway(id uint64, r *protocol.Report, to string) bool {
+	c := n.contacts[r.Machine]
+	if !c.sent.IsZero() && c.term == n.claim.stamp && n.now.Sub(c.sent) < tuning.RelayMemory {
+		return false
+	}
+	n.contacts[r.Machine] = contact{term: n.claim.stamp, sent: n.now}
+	n.reply(id, 421, protocol.Redirect{ReportTo: to})
+	return true
+}
+
+// leaderKnown says whether somebody leads, as far as this node knows.
+func (n *Node) leaderKnown() bool {
+	return n.lead != nil || n.claim.holder != "" && n.claim.holder != n.cfg.Name
+}
+
+// unpark routes the reports that waited for a leader once there is one, and
+// sends the workers on that have waited long enough.
+func (n *Node) unpark() {
+	waiting := n.parked
+	n.parked = nil
+	for _, p := range waiting {
+		switch {
+		case n.leaderKnown():
+			n.forward(p.id, p.report, p.expire)
+		case n.now.After(p.expire):
+			n.reply(p.id, 503, protocol.ErrorBody{Error: "no leader known"})
+		default:
+			n.parked = append(n.parked, p)
+		}
+	}
 }
 
 // takeReport is the leader's answer to a report, carried or not.
--- /dev/null
+++ b/internal/coordination/relay_test.go
@@ -0,0 +1,191 @@
+package coordination
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// follower is one of three nodes, each linked to the others, while "a" leads
+// and keeps so many of a thousand workers.
+func follower(name string, keeps uint64) *Node {
+	cfg := &config.Config{Name: name, Operator: tuning.Defaults()}
+	for _, s := range []string{"a", "b", "c"} {
+		if s != name {
+			cfg.Siblings = append(cfg.Siblings, config.Sibling{Name: s})
+		}
+	}
+	n := New(cfg, slog.New(slog.DiscardHandler), 1, "boot")
+	n.now = time.Unix(1_800_000_000, 0)
+	n.claimSeen(bookkeeping.Encode(bookkeeping.Claim{Node: "a"}), 9)
+	for s, p := range n.peers {
+		*p = peer{up: true, heard: n.now, status: protocol.PeerStatus{Term: 9, Leader: "a", Links: []string{"x", "y"}}}
+		if s == "a" {
+			p.status.Keeps, p.status.Links = keeps, []string{"b", "c"}
+		}
+	}
+	return n
+}
+
+// reported tells what becomes of a machine's report at a node: where the worker
+// is sent, "carried", or the status.
+func reported(n *Node, machine string) string {
+	n.nextID++
+	id := n.nextID
+	n.out = nil
+	n.routeReport(id, &protocol.Report{Machine: machine, Session: 1, Seq: id})
+	for _, a := range n.out {
+		switch a := a.(type) {
+		case Reply:
+			if a.ID != id {
+				continue
+			}
+			if r, _ := parse[protocol.Redirect](a.Body); a.Status == 421 {
+				return r.ReportTo
+			}
+			return fmt.Sprint(a.Status)
+		case PeerSend:
+			return "carried to " + a.Peer
+		}
+	}
+	return "parked"
+}
+
+// TestFronts: the leader keeps its part of the workers, the other nodes carry
+// equal parts of the rest, and each worker is sent to the same node by all.
+func TestFronts(t *testing.T) {
+	b, c := follower("b", 250), follower("c", 250)
+	count := map[string]int{}
+	for i := range 2000 {
+		m := fmt.Sprintf("i-%06d", i)
+		atB, atC := reported(b, m), reported(c, m)
+		switch {
+		case atB == "a" && atC == "a":
+			count["a"]++
+		case atB == "carried to a" && atC == "b":
+			count["b"]++
+		case atB == "c" && atC == "carried to a":
+			count["c"]++
+		default:
+			t.Fatalf("%s: %s at b, %s at c", m, atB, atC)
+		}
+		if atB == "c" && reported(b, m) != "carried to a" {
+			t.Fatalf("%s could not reach c and is not carried by b", m)
+		}
+	}
+	if count["a"] < 400 || count["a"] > 600 || count["b"] < 650 || count["c"] < 650 {
+		t.Errorf("fronts: %v", count)
+	}
+}
+
+// TestFrontsInTrouble: while a link is missing whoever a worker comes to carries
+// its reports, and a worker is sent to the leader itself when its front has lost
+// the leader: by way of third nodes or of mail only some could be carried.
+func TestFrontsInTrouble(t *testing.T) {
+	b := follower("b", 0)
+	own, other := "", ""
+	for i := 0; own == "" || other == ""; i++ {
+		if m := fmt.Sprintf("i-%06d", i); b.front(m, "a", 0) == "b" {
+			own = m
+		} else {
+			other = m
+		}
+	}
+	if got := reported(b, own); got != "carried to a" {
+		t.Fatalf("its own worker is %s", got)
+	}
+	b.peers["c"].up = false
+	if got := reported(b, other); got != "carried to a" {
+		t.Errorf("with c gone its worker is %s", got)
+	}
+	b.peers["a"].up = false
+	if got := reported(b, own); got != "a" {
+		t.Errorf("with the leader's link gone its own worker is %s", got)
+	}
+	if got := reported(b, own); got == "a" {
+		t.Error("sent to the leader again at once, though it came back")
+	}
+	if got := reported(follower("b", tuning.KeepsAll), own); got != "a" {
+		t.Errorf("the leader keeps all: %s", got)
+	}
+}
+
+// TestLeaderSendsWorkersToFronts: a leader whose share of a core pays for some of
+// its workers sends the others to the nodes that carry for it, once; one that
+// comes back is answered. A large share keeps all.
+func TestLeaderSendsWorkersToFronts(t *testing.T) {
+	for cores, sends := range map[float64]bool{0.018: true, 0.24: false} {
+		l := testLeader(time.Unix(1_800_000_000, 0))
+		n := l.n
+		n.cfg.Cluster.Resources.Cores = cores
+		n.cfg.Siblings = []config.Sibling{{Name: "o"}, {Name: "p"}}
+		n.names = []string{"n", "o", "p"}
+		for _, s := range []string{"o", "p"} {
+			n.peers[s] = &peer{up: true, heard: n.now, status: protocol.PeerStatus{Links: []string{"n", "x"}}}
+		}
+		for i := range 300 {
+			l.testMachine(fmt.Sprintf("i-%06d", i), "big", "a", false)
+		}
+		away := 0
+		for i := range 300 {
+			m := fmt.Sprintf("i-%06d", i)
+			switch got := reported(n, m); got {
+			case "200":
+			case "o", "p":
+				away++
+				if got := reported(n, m); got != "200" {
+					t.Fatalf("%s came back and has %s", m, got)
+				}
+			default:
+				t.Fatalf("%s: %s", m, got)
+			}
+		}
+		if sends != (away > 0) || away > 270 {
+			t.Errorf("on %v of a core %d of 300 workers are sent away", cores, away)
+		}
+	}
+}
+
+// TestReportsWaitForALeader: while nobody leads, workers' reports wait for the
+// next leader instead of going round the nodes, but not for longer than a worker
+// waits.
+func TestReportsWaitForALeader(t *testing.T) {
+	b := follower("b", 0)
+	b.claimGone()
+	if got := reported(b, "i-1"); got != "parked" {
+		t.Fatalf("without a leader: %s", got)
+	}
+	at := b.now
+	b.claimSeen(bookkeeping.Encode(bookkeeping.Claim{Node: "a"}), 10)
+	carried := false
+	for _, a := range b.Step(at.Add(time.Second), nil) {
+		if p, ok := a.(PeerSend); ok {
+			if r, ok := p.Message.(protocol.PeerReport); ok && r.Report.Machine == "i-1" {
+				carried = true
+			}
+		}
+	}
+	if !carried {
+		t.Error("the report that waited is not carried to the new leader")
+	}
+	b.claimGone()
+	reported(b, "i-2")
+	id := b.nextID
+	for d := time.Duration(0); d <= tuning.RelayTimeout+time.Second; d += tuning.Tick {
+		for _, a := range b.Step(at.Add(time.Second+d), nil) {
+			if r, ok := a.(Reply); ok && r.ID == id {
+				if r.Status != 503 || d > 4*time.Second {
+					t.Errorf("%d after %v", r.Status, d)
+				}
+				return
+			}
+		}
+	}
+	t.Error("never answered")
+}
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -14,7 +14,7 @@
 //
 // Numbers in a payload are unsigned varints, strings are a length and bytes.
 const (
-	peerVersion   = 1
+	peerVersion   = 2
 	peerHeader    = 8
 	maxPeerFrame  = 256 << 10
 	maxPeerString = MaxBody
@@ -35,6 +35,7 @@
 	Leader  string
 	StateOK bool
 	Links   []string // peers that this node has a link to
+	Keeps   uint64   // of a thousand workers the leader answers so many itself
 }
 
 // PeerReport carries a worker's report to the leader.
@@ -147,6 +148,7 @@
 		for _, l := range m.Links {
 			e.str(l)
 		}
+		e.num(m.Keeps)
 	case PeerReport:
 		e.num(m.ID)
 		e.str(m.Origin)
@@ -244,6 +246,7 @@
 		for i := 0; i < n && d.err == nil; i++ {
 			s.Links = append(s.Links, d.str())
 		}
+		s.Keeps = d.num()
 		m = s
 	case PeerReport{}.kind():
 		m = PeerReport{ID: d.num(), Origin: d.str(), Target: d.str(), Hops: d.num(), Report: d.report()}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -172,7 +172,7 @@
 	n := 7.5
 	return []PeerMessage{
 		PeerHello{Node: "a"},
-		PeerStatus{Term: 9, Leader: "b", StateOK: true, Links: []string{"a", "c"}},
+		PeerStatus{Term: 9, Leader: "b", StateOK: true, Links: []string{"a", "c"}, Keeps: 250},
 		PeerReport{ID: 1, Origin: "a", Target: "b", Hops: 1, Report: &Report{Machine: "i-1", Address: "h:1", Type: "t", Zone: "z", Spot: true,
 			Session: 2, Seq: 3, Token: 4, NoticeS: &n, Tasks: []TaskReport{{Task: "run-1/0", Attempt: 1, State: TaskExited, Cause: CauseDone, Saved: true}}}},
 		PeerAnswer{ID: 1, Target: "a", Status: 200, Body: []byte(`{}`)},
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -22,6 +22,7 @@
 	log    *slog.Logger
 	events chan<- coordination.Event
 	links  map[string]*link
+	gather time.Duration // for which workers' reports wait for others on their way to the leader
 }
 
 type link struct {
@@ -32,13 +33,24 @@
 }
 
 func newPeers(cfg *config.Config, log *slog.Logger, events chan<- coordination.Event) *peers {
-	p := &peers{cfg: cfg, log: log, events: events, links: map[string]*link{}}
+	p := &peers{cfg: cfg, log: log, events: events, links: map[string]*link{}, gather: gatherFor(cfg)}
 	for _, s := range cfg.Siblings {
-		p.links[s.Name] = &link{name: s.Name, addr: s.Addr, queue: make(chan protocol.PeerMessage, tuning.PeerQueue)}
+		p.links[s.Name] = &link{name: s.Name, addr: s.Addr, queue: make(chan protocol.PeerMessage, max(tuning.PeerQueue, cfg.Cluster.Resources.FDLimit))}
 	}
 	return p
 }
 
+// gatherFor is how long reports are gathered for one frame write, so that what
+// all siblings send costs the leader no more than its share of processor time.
+func gatherFor(cfg *config.Config) time.Duration {
+	cores := cfg.Cluster.Resources.Cores
+	if cores <= 0 {
+		return 0
+	}
+	each := time.Duration(float64(tuning.GatherCost) / (cores * tuning.GatherShare))
+	return min(each*time.Duration(len(cfg.Siblings)), tuning.GatherMost)
+}
+
 func (p *peers) start(ctx context.Context, failed chan<- error) error {
 	ln, err := net.Listen("tcp", p.cfg.PeerListen)
 	if err != nil {
@@ -121,21 +133,50 @@
 		if _, err := conn.Write(buf); err != nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ended:
+		if buf = p.collect(ctx, l, ended, buf[:0]); len(buf) == 0 {
 			return
-		case m := <-l.queue:
-			buf = protocol.AppendPeer(buf[:0], m)
 		}
 	}
 }
 
+// collect appends the frames of the messages that wait for a link, as many as
+// one write takes; workers' reports alone are gathered for a while. Nothing: the
+// link has ended.
+func (p *peers) collect(ctx context.Context, l *link, ended <-chan struct{}, buf []byte) []byte {
+	gathering := true // only reports so far
+	var gathered <-chan time.Time
+	for len(buf) < tuning.PeerBatch {
+		var m protocol.PeerMessage
+		select {
+		case m = <-l.queue:
+		default:
+			if len(buf) > 0 && !gathering {
+				return buf
+			}
+			select {
+			case m = <-l.queue:
+			case <-gathered:
+				return buf
+			case <-ctx.Done():
+				return nil
+			case <-ended:
+				return nil
+			}
+		}
+		_, report := m.(protocol.PeerReport)
+		gathering = gathering && report && p.gather > 0
+		if gathering && gathered == nil {
+			gathered = time.After(p.gather)
+		}
+		buf = protocol.AppendPeer(buf, m)
+	}
+	return buf
+}
+
 // read takes a sibling's frames until one is wrong or none comes.
 func (p *peers) read(conn net.Conn) {
 	defer conn.Close()
-	r := bufio.NewReader(conn)
+	r := bufio.NewReaderSize(conn, tuning.PeerBatch)
 	name := ""
 	for {
 		conn.SetReadDeadline(time.Now().Add(tuning.PeerRead))
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -141,6 +141,16 @@
 	RelayMemory = time.Minute
 	// RelayTimeout bounds a carried report; the worker gives up after 4 s.
 	RelayTimeout = 3 * time.Second
+	// ReportCost is about what a worker's own report costs of a core: two or three
+	// reads, a write, the waking up, and some 20 microseconds of code.
+	ReportCost = 120 * time.Microsecond
+	// ReportShare is the part of the leader's processor time for workers that
+	// report to it directly. The siblings answer the rest for it.
+	ReportShare = 0.15
+	// KeepsAll stands for all workers where a share of them is meant.
+	KeepsAll = 1000
+	// KeepsSteps is the number of steps in which that share changes.
+	KeepsSteps = 20
 	// OrderCost is about what a call to a worker costs of a core: a connection, a
 	// request, an answer with its report.
 	OrderCost = 300 * time.Microsecond
@@ -381,6 +391,16 @@
 	WorkerSockets = 0.08
 	// PeerQueue bounds the messages that wait for a link.
 	PeerQueue = 512
+	// PeerBatch is about how many bytes of frames are written, and read, at once.
+	PeerBatch = 16 << 10
+	// GatherCost is about what a write of gathered reports costs the leader of a
+	// core: a read, the waking up, and the write of the answers.
+	GatherCost = 250 * time.Microsecond
+	// GatherShare is the part of the leader's processor time for these.
+	GatherShare = 0.1
+	// GatherMost bounds how long reports are gathered: a task's end is known so
+	// much later.
+	GatherMost = 250 * time.Millisecond
 	// PeerRedial is the pause before a sibling is dialled again.
 	PeerRedial = 500 * time.Millisecond
 	// PeerWrite bounds the writing of one frame.
