--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -27,7 +27,7 @@
 	client := func(idle int, perHost int) *http.Client {
 		return &http.Client{
 			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: tuning.DialTimeout}).DialContext,
+				DialContext:         (&net.Dialer{Timeout: tuning.DialTimeout, KeepAlive: noKeepAlive}).DialContext,
 				MaxIdleConns:        idle,
 				MaxIdleConnsPerHost: perHost,
 				MaxConnsPerHost:     tuning.ConnsPerHost,
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -8,6 +9,16 @@
 	"github.com/gappond/gappond/internal/tuning"
 )
 
+// noKeepAlive turns the probes of idle connections off. Silent ones are let go
+// by time-outs of our own, and setting the probes up takes four of the five
+// system calls that a new connection costs beyond its making.
+const noKeepAlive = -1
+
+// listen listens for connections without such probes.
+func listen(ctx context.Context, addr string) (net.Listener, error) {
+	return (&net.ListenConfig{KeepAlive: noKeepAlive}).Listen(ctx, "tcp", addr)
+}
+
 // connections counts the open connections of users and workers. A fleet may
 // have more workers than the process has sockets: beyond their share their
 // connections are closed after the answer, so that each of them finds a socket
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -52,7 +52,7 @@
 }
 
 func (p *peers) start(ctx context.Context, failed chan<- error) error {
-	ln, err := net.Listen("tcp", p.cfg.PeerListen)
+	ln, err := listen(ctx, p.cfg.PeerListen)
 	if err != nil {
 		return err
 	}
@@ -101,8 +101,9 @@
 
 // keep dials a sibling for as long as the process lives.
 func (p *peers) keep(ctx context.Context, l *link) {
+	dialer := net.Dialer{Timeout: tuning.DialTimeout, KeepAlive: noKeepAlive}
 	for ctx.Err() == nil {
-		conn, err := net.DialTimeout("tcp", l.addr, tuning.DialTimeout)
+		conn, err := dialer.DialContext(ctx, "tcp", l.addr)
 		if err == nil {
 			l.mu.Lock()
 			l.conn = conn
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 
@@ -17,7 +16,7 @@
 
 // serve answers users, workers, the load balancer and operators.
 func (o *Owner) serve(ctx context.Context, failed chan<- error) error {
-	ln, err := net.Listen("tcp", o.cfg.Listen)
+	ln, err := listen(ctx, o.cfg.Listen)
 	if err != nil {
 		return err
 	}
