--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -130,3 +130,37 @@
 		}
 	}
 }
+
+// TestMirrorStatus: what users are told follows a record's revisions, though it is
+// decoded only once for each, and a record's writer is found without decoding.
+func TestMirrorStatus(t *testing.T) {
+	var m Mirror
+	m.BeginLoad()
+	m.LoadPage(&protocol.Entries{Revision: 1})
+	key := JobKey("run-1")
+	for stamp, want := range []protocol.Status{
+		{ID: "run-1", Phase: protocol.PhasePending},
+		{ID: "run-1", Phase: protocol.PhaseRunning, Done: 1, Running: 2},
+		{ID: "run-1", Phase: protocol.PhaseCancelled, Done: 1},
+	} {
+		rec := Job{Writer: "w-1", Spec: &protocol.Job{ID: "run-1", Tasks: 3}, Chunk: 9, Done: want.Done, Placed: want.Running, Cancelled: want.Phase == protocol.PhaseCancelled}
+		value := Encode(rec)
+		m.Apply(&protocol.WatchEvent{Set: key, Value: value, Stamp: uint64(stamp + 2)})
+		for range 2 {
+			got, at, ok := m.Status(key)
+			if !ok || got != want || at != uint64(stamp+2) {
+				t.Errorf("revision %d: %+v at %d, %v, want %+v", stamp+2, got, at, ok, want)
+			}
+		}
+		if Writer(value) != "w-1" {
+			t.Errorf("%s: written by %q", value, Writer(value))
+		}
+	}
+	m.Apply(&protocol.WatchEvent{Delete: key, Stamp: 9})
+	if _, _, ok := m.Status(key); ok || len(m.statuses) > 0 {
+		t.Error("a deleted record has a status")
+	}
+	if Writer([]byte(`{"spec":{}}`)) != "" || Writer([]byte(`{"w":"x`)) != "" {
+		t.Error("a writer where there is none")
+	}
+}
--- a/internal/bookkeeping/mirror.go
+++ b/internal/bookkeeping/mirror.go
@@ -13,6 +13,14 @@
 	loading  map[string]protocol.Entry
 	loadRev  uint64
 	ready    bool
+	statuses map[string]status
+}
+
+// status is what a job's record says to its user, as of a revision: users ask
+// far more often than records change.
+type status struct {
+	stamp uint64
+	told  protocol.Status
 }
 
 // Ready says whether the mirror has been loaded.
@@ -39,6 +47,7 @@
 		return after
 	}
 	m.items, m.loading = m.loading, nil
+	m.statuses = map[string]status{}
 	m.Revision, m.ready = m.loadRev, true
 	return ""
 }
@@ -58,6 +67,7 @@
 		return false
 	}
 	delete(m.items, ev.Delete)
+	delete(m.statuses, ev.Delete)
 	return true
 }
 
@@ -67,6 +77,25 @@
 	return e, ok
 }
 
+// Status is what a job's user is told by the record under a key, and the
+// record's revision; false if there is no sound one.
+func (m *Mirror) Status(key string) (protocol.Status, uint64, bool) {
+	e, ok := m.items[key]
+	if !ok {
+		return protocol.Status{}, 0, false
+	}
+	s, known := m.statuses[key]
+	if !known || s.stamp != e.Stamp {
+		rec, err := DecodeJob(e.Value)
+		if err != nil {
+			return protocol.Status{}, 0, false
+		}
+		s = status{e.Stamp, rec.Status()}
+		m.statuses[key] = s
+	}
+	return s.told, s.stamp, true
+}
+
 // Each visits the keys below a prefix, in no order.
 func (m *Mirror) Each(prefix string, visit func(protocol.Entry)) {
 	for k, e := range m.items {
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -16,6 +16,7 @@
 package bookkeeping
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -175,6 +176,17 @@
 	Tasks     []Task        `json:"tasks,omitempty"`
 }
 
+// Writer is the writer's name that a record begins with, found without decoding
+// the rest; "" if it begins otherwise.
+func Writer(value json.RawMessage) string {
+	rest, ok := bytes.CutPrefix(value, []byte(`{"w":"`))
+	name, _, closed := bytes.Cut(rest, []byte(`"`))
+	if !ok || !closed {
+		return ""
+	}
+	return string(name)
+}
+
 // Chunk is a further record of a job's tasks.
 type Chunk struct {
 	Writer string `json:"w"`
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -496,6 +496,9 @@
 	if j != nil && ev.Stamp <= j.stamps[0] {
 		return
 	}
+	if j != nil && l.inFlight != nil && bookkeeping.Writer(ev.Value) == l.inFlight.writer {
+		return // our own write, whose answer is on its way
+	}
 	rec, err := bookkeeping.DecodeJob(ev.Value)
 	if err != nil {
 		l.n.log.Error("job record does not parse", "key", ev.Set, "error", err)
@@ -507,9 +510,6 @@
 		l.plan = true
 		return
 	}
-	if l.inFlight != nil && rec.Writer == l.inFlight.writer {
-		return // our own write, whose answer is on its way
-	}
 	l.merge(j, rec, ev.Stamp)
 }
 
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -5,13 +5,13 @@
 package coordination
 
 import (
-	"bytes"
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gappond/gappond/internal/bookkeeping"
@@ -219,8 +219,7 @@
 
 // ownWrite says whether a record was written by this life of this node.
 func (n *Node) ownWrite(value json.RawMessage) bool {
-	rest, ok := bytes.CutPrefix(value, []byte(`{"w":"`))
-	return ok && bytes.HasPrefix(rest, []byte(n.boot+"-"))
+	return strings.HasPrefix(bookkeeping.Writer(value), n.boot+"-")
 }
 
 // mayRead says whether the budget leaves room for a user's request: what the
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -276,16 +276,13 @@
 		if _, ok := status[p.job]; ok {
 			continue
 		}
-		e, ok := n.mirror.Get(bookkeeping.JobKey(p.job))
+		key := bookkeeping.JobKey(p.job)
+		s, stamp, ok := n.mirror.Status(key)
 		if !ok {
 			continue
 		}
-		rec, err := bookkeeping.DecodeJob(e.Value)
-		if err != nil {
-			continue
-		}
-		status[p.job] = rec.Status()
-		txn.If = append(txn.If, protocol.Condition{Key: e.Key, Stamp: e.Stamp})
+		status[p.job] = s
+		txn.If = append(txn.If, protocol.Condition{Key: key, Stamp: stamp})
 	}
 	n.state("POST", protocol.PathTxn, txn, func(code int, body []byte) {
 		stale := map[string]bool{}
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -10,6 +10,7 @@
 
 	"github.com/gappond/gappond/internal/config"
 	"github.com/gappond/gappond/internal/coordination"
+	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
 )
 
@@ -84,12 +85,22 @@
 		return 0, nil
 	}
 	defer resp.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(resp.Body, tuning.MaxAnswer))
+	body, err = readAll(io.LimitReader(resp.Body, tuning.MaxAnswer), resp.ContentLength, protocol.MaxBody)
 	if err != nil {
 		return 0, nil
 	}
 	return resp.StatusCode, body
 }
 
+// readAll reads a body of about the announced length, which is negative if none
+// was: a buffer that grows by and by takes several times the memory. No more than
+// most is taken on trust.
+func readAll(r io.Reader, length, most int64) ([]byte, error) {
+	var b bytes.Buffer
+	b.Grow(int(min(max(length, 0), most)) + bytes.MinRead)
+	_, err := b.ReadFrom(r)
+	return b.Bytes(), err
+}
+
 // retryAfter writes a pause as the header's whole seconds.
 func retryAfter(d time.Duration) int { return max(1, int((d+time.Second-1)/time.Second)) }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -51,7 +50,7 @@
 
 // readBody reads a request's body, or answers why it does not.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, protocol.MaxBody))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, protocol.MaxBody), r.ContentLength, tuning.TrustedBody)
 	if err != nil {
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -376,6 +376,10 @@
 	// MaxAnswer bounds an answer from outside. A watch's answer has no limit of
 	// its own: 10,000 changes of a few KiB are the most that is kept.
 	MaxAnswer = 32 << 20
+	// TrustedBody is how many bytes of a request's body are made room for before
+	// they have come: most reports are smaller, and hundreds of stalled clients
+	// that announce more cost no more than this each.
+	TrustedBody = 2 << 10
 	// ServerSockets is the share of the socket limit for users and workers.
 	ServerSockets = 0.8
 	// KeptSockets is the share up to which a worker's connection is kept open
