--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -79,6 +79,15 @@
 	FDLimit  int     `toml:"fd_limit"`
 }
 
+// Pause is the pause between things that cost so much processor time each, for
+// them to take no more than a part of the process's share of a core.
+func (r Resources) Pause(cost time.Duration, part float64) time.Duration {
+	if r.Cores <= 0 {
+		return 0
+	}
+	return time.Duration(float64(cost) / (r.Cores * part))
+}
+
 // Cluster is what all controllers share.
 type Cluster struct {
 	Nodes      int         `toml:"nodes"`
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -460,10 +460,16 @@
 		}
 	}
 	n.mirror.Revision = max(n.mirror.Revision, w.Revision)
-	n.watchAt = n.now.Add(tuning.WatchPause)
+	n.watchAt = n.now.Add(n.requestPause(tuning.WatchPause, tuning.WatchShare))
 	n.tickMirror()
 }
 
+// requestPause is the pause before a request that can wait, longer the smaller the
+// share of a core is.
+func (n *Node) requestPause(least time.Duration, share float64) time.Duration {
+	return max(least, min(n.cfg.Cluster.Resources.Pause(tuning.RequestCost, share), tuning.RequestPause))
+}
+
 // mirrorLoaded looks at the claim after a full load.
 func (n *Node) mirrorLoaded() {
 	if e, ok := n.mirror.Get(bookkeeping.TypesKey); ok && len(n.types) == 0 {
--- a/internal/coordination/pass.go
+++ b/internal/coordination/pass.go
@@ -115,9 +115,6 @@
 // it had to look at and the smaller the controller's share of a core is, so
 // that planning leaves time for reports and commits.
 func (l *leader) planPause() time.Duration {
-	pause := tuning.PlanEvery
-	if cores := l.n.cfg.Cluster.Resources.Cores; cores > 0 {
-		pause = max(pause, time.Duration(float64(l.looks)*float64(tuning.LookCost)/(cores*tuning.PlanShare)))
-	}
-	return min(pause, tuning.PlanIdle)
+	pause := l.n.cfg.Cluster.Resources.Pause(time.Duration(l.looks)*tuning.LookCost, tuning.PlanShare)
+	return min(max(pause, tuning.PlanEvery), tuning.PlanIdle)
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -245,7 +245,7 @@
 		return
 	}
 	if len(n.polls) == 0 {
-		n.pollAt = n.now.Add(tuning.PollBatch)
+		n.pollAt = n.now.Add(n.requestPause(tuning.PollBatch, tuning.PollShare))
 	}
 	p.expire = n.now.Add(tuning.UserDeadline)
 	n.polls = append(n.polls, p)
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -43,11 +43,7 @@
 // gatherFor is how long reports are gathered for one frame write, so that what
 // all siblings send costs the leader no more than its share of processor time.
 func gatherFor(cfg *config.Config) time.Duration {
-	cores := cfg.Cluster.Resources.Cores
-	if cores <= 0 {
-		return 0
-	}
-	each := time.Duration(float64(tuning.GatherCost) / (cores * tuning.GatherShare))
+	each := cfg.Cluster.Resources.Pause(tuning.GatherCost, tuning.GatherShare)
 	return min(each*time.Duration(len(cfg.Siblings)), tuning.GatherMost)
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -54,16 +54,26 @@
 	StateTimeout = 1500 * time.Millisecond
 	// WatchBlock is how long a watch is held open.
 	WatchBlock = 10 * time.Second
-	// WatchPause is the pause before a watch that returned is opened again, so
-	// that a burst of changes costs one request and not one each.
+	// WatchPause is the least pause before a watch that returned is opened again,
+	// so that a burst of changes costs one request and not one each.
 	WatchPause = 20 * time.Millisecond
+	// RequestCost is about what a request to the state service costs of a core:
+	// a write, two or three reads, waking up twice, and the code.
+	RequestCost = 250 * time.Microsecond
+	// WatchShare and PollShare are the parts of the processor time that watches and
+	// the checks of polls may take: on a small share of a core their pauses grow.
+	WatchShare = 0.05
+	PollShare  = 0.05
+	// RequestPause is the longest that such a pause grows: jobs start, and users
+	// are answered, so much later.
+	RequestPause = 250 * time.Millisecond
 	// RetryPause is the pause after a refused or lost state request.
 	RetryPause = 250 * time.Millisecond
 	// ConflictPause is left after a refused transaction for the keys to be read.
 	ConflictPause = 50 * time.Millisecond
 	// RangePage is the number of keys asked for at once.
 	RangePage = 500
-	// PollBatch is how long polls wait to be checked by one transaction.
+	// PollBatch is how long polls wait at least to be checked by one transaction.
 	PollBatch = 30 * time.Millisecond
 	// UserDeadline bounds a user's request: users give up polls after 2 s and
 	// submissions after 5 s.
