Orders go to workers by way of the siblings where these answer workers

Cause: a call to a worker is a new connection mostly, a dozen system calls and three wake-ups: some 9% of either small leader's share. The siblings make the calls, in answers and time-outs as before; probes stay with the leader, and so does all while a link is missing. A leader that cannot keep all workers keeps a third of those that it could pay for.

--- a/internal/coordination/due.go
+++ b/internal/coordination/due.go
@@ -35,7 +35,7 @@
 	by(n.typesAt)
 	n.claimDue(by)
 	by(n.beatAt)
-	if len(n.carried)+len(n.parked) > 0 {
+	if len(n.carried)+len(n.parked)+len(n.delegated) > 0 {
 		by(n.expireAt)
 	}
 	for _, box := range n.mail {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -26,20 +26,21 @@
 	teams    map[string]*team
 	waiting  int
 
-	dirty    []*job   // jobs with unwritten changes, in the order they came
-	racks    []*rack  // the machines' room records
-	cleanup  []string // keys to delete when there is time
-	inFlight *commit
-	commitAt time.Time
-	hurried  []*machine    // have orders that should not wait for a report
-	calls    *rate.Limiter // calls to workers: direct orders and probes
-	calling  int           // calls to workers under way
-	plan     bool          // something changed that placement may depend on
-	planAt   time.Time
-	pass     *pass     // the pass over the queue under way, nil between two
-	looks    int       // machines looked at in the last pass
-	watchAt  time.Time // when the machines are looked over again
-	fleet    fleet
+	dirty     []*job   // jobs with unwritten changes, in the order they came
+	racks     []*rack  // the machines' room records
+	cleanup   []string // keys to delete when there is time
+	inFlight  *commit
+	commitAt  time.Time
+	hurried   []*machine    // have orders that should not wait for a report
+	calls     *rate.Limiter // calls to workers: direct orders and probes
+	calling   int           // calls to workers under way
+	spreading bool          // the siblings answer a part of the workers
+	plan      bool          // something changed that placement may depend on
+	planAt    time.Time
+	pass      *pass     // the pass over the queue under way, nil between two
+	looks     int       // machines looked at in the last pass
+	watchAt   time.Time // when the machines are looked over again
+	fleet     fleet
 	// when a job last came, and one that may not use spot machines
 	lastJob, lastOrdinary time.Time
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -167,6 +167,7 @@
 	carried   map[uint64]carried   // requests that siblings answer
 	expireAt  time.Time            // when they are looked over for late ones
 	carriedIn map[uint64]carriedIn // requests of siblings that this node answers
+	delegated map[uint64]delegated // calls that siblings make
 	contacts  map[string]contact   // workers that report here, or did
 	parked    []parked
 	mail      map[string]*mailbox
@@ -184,6 +185,7 @@
 		peers:     map[string]*peer{},
 		carried:   map[uint64]carried{},
 		carriedIn: map[uint64]carriedIn{},
+		delegated: map[uint64]delegated{},
 		contacts:  map[string]contact{},
 		mail:      map[string]*mailbox{},
 	}
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -23,6 +24,12 @@
 	expire time.Time
 }
 
+// delegated is a call that a sibling makes for the leader.
+type delegated struct {
+	done   func(status int, body []byte)
+	expire time.Time
+}
+
 // contact is what a node remembers of a worker that reports to it.
 type contact struct {
 	term    uint64    // of the leader at that time
@@ -165,6 +172,12 @@
 				n.refuse(c.reply, "leader does not answer")
 			}
 		}
+		for _, id := range slices.Sorted(maps.Keys(n.delegated)) {
+			if d, ok := n.delegated[id]; ok && n.now.After(d.expire) {
+				delete(n.delegated, id)
+				d.done(0, nil)
+			}
+		}
 	}
 	if n.now.Before(n.beatAt) {
 		return
@@ -216,13 +229,18 @@
 		n.sendTo(m.Origin, protocol.PeerAnswer{ID: m.ID, Target: m.Origin, Status: uint64(status), Body: bookkeeping.Encode(body)})
 	case protocol.PeerRequest:
 		n.takeRequest(m)
+	case protocol.PeerCall:
+		n.callFor(m)
 	case protocol.PeerAnswer:
 		if m.Target != n.cfg.Name {
 			m.Hops++
 			n.passOn(m.Target, m.Hops, m)
 			return
 		}
-		if c, ok := n.carried[m.ID]; ok {
+		if d, ok := n.delegated[m.ID]; ok {
+			delete(n.delegated, m.ID)
+			d.done(int(m.Status), m.Body)
+		} else if c, ok := n.carried[m.ID]; ok {
 			delete(n.carried, m.ID)
 			r := Reply{ID: c.reply, Status: int(m.Status), Body: m.Body}
 			if r.Status == 503 {
@@ -251,23 +269,33 @@
 	return false
 }
 
-// keeps is how many of a thousand workers the leader answers itself: what its
-// share of a core and of sockets can pay. The others' reports come over the
+// keeps is how many of a thousand workers the leader answers itself: all if its
+// share of a core and of sockets can pay for them, else a part of what it could
+// pay for, so that planning has the rest. The others' reports come over the
 // controllers' links, many in one read.
 func (l *leader) keeps() uint64 {
 	r := l.n.cfg.Cluster.Resources
-	if r.Cores <= 0 || len(l.roster) == 0 {
+	if r.Cores <= 0 || len(l.roster) == 0 || len(l.n.cfg.Siblings) == 0 {
 		return tuning.KeepsAll
 	}
 	most := r.Cores * tuning.ReportShare / tuning.ReportCost.Seconds() * l.n.cfg.Cluster.Workers.ReportS
 	if r.FDLimit > 0 {
 		most = min(most, float64(r.FDLimit)*tuning.KeptSockets)
 	}
+	fleet := float64(len(l.roster))
+	// A fleet about as large as the limit must not come and go.
+	l.spreading = fleet > most || l.spreading && fleet > most*tuning.SpreadUntil
+	if !l.spreading {
+		return tuning.KeepsAll
+	}
 	// In steps, so that few workers change their front as the fleet grows.
-	steps := uint64(most / float64(len(l.roster)) * tuning.KeepsSteps)
-	return min(steps, tuning.KeepsSteps) * tuning.KeepsAll / tuning.KeepsSteps
+	return uint64(min(most*tuning.KeepsPart/fleet, 1)*tuning.KeepsSteps) * tuning.KeepsAll / tuning.KeepsSteps
 }
 
+// spreads says whether the siblings do a part of the leader's dealings with
+// workers.
+func (l *leader) spreads() bool { return l.keeps() < tuning.KeepsAll }
+
 // front is the node that answers a worker when all links are there: the leader
 // for as many workers as it keeps, the others in equal parts for the rest. All
 // nodes reckon the same.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/gappond/gappond/internal/bookkeeping"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
 	"golang.org/x/time/rate"
@@ -504,11 +505,36 @@
 func (l *leader) call(m *machine, method, path string, body any, done func(status int, body []byte)) {
 	l.calls.AllowN(l.n.now, 1)
 	l.calling++
-	l.n.request(ToWorker, m.address, method, path, body, tuning.ProbeTimeout, func(status int, body []byte) {
+	ended := func(status int, body []byte) {
 		l.calling--
 		if l.n.lead == l {
 			done(status, body)
 		}
+	}
+	if path == protocol.PathOrders && l.spreads() && l.n.delegate(m, bookkeeping.Encode(body), ended) {
+		return
+	}
+	l.n.request(ToWorker, m.address, method, path, body, tuning.ProbeTimeout, ended)
+}
+
+// delegate has a sibling send orders to a worker, if all links are there: a call
+// is a new connection mostly, which costs much of a small share of a core. What
+// the sibling does not answer in time may still be executed, as any order that
+// was not answered. Probes are not delegated: they judge a machine.
+func (n *Node) delegate(m *machine, body []byte, done func(status int, body []byte)) bool {
+	if !n.whole() {
+		return false
+	}
+	n.nextID++
+	n.delegated[n.nextID] = delegated{done, n.now.Add(tuning.ProbeTimeout + tuning.DelegateSlack)}
+	n.sendTo(n.front(m.id, n.cfg.Name, 0), protocol.PeerCall{ID: n.nextID, Origin: n.cfg.Name, Address: m.address, Body: body})
+	return true
+}
+
+// callFor sends orders to a worker for the leader.
+func (n *Node) callFor(c protocol.PeerCall) {
+	n.request(ToWorker, c.Address, "POST", protocol.PathOrders, c.Body, tuning.ProbeTimeout, func(status int, body []byte) {
+		n.sendTo(c.Origin, protocol.PeerAnswer{ID: c.ID, Target: c.Origin, Status: uint64(status), Body: body})
 	})
 }
 
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -66,11 +66,20 @@
 	Body   []byte
 }
 
+// PeerCall has a node send orders to a worker for the leader.
+type PeerCall struct {
+	ID      uint64
+	Origin  string
+	Address string // of the worker
+	Body    []byte
+}
+
 func (PeerHello) kind() byte   { return 1 }
 func (PeerStatus) kind() byte  { return 2 }
 func (PeerReport) kind() byte  { return 3 }
 func (PeerAnswer) kind() byte  { return 4 }
 func (PeerRequest) kind() byte { return 5 }
+func (PeerCall) kind() byte    { return 6 }
 
 type encoder struct{ b []byte }
 
@@ -168,6 +177,11 @@
 		e.str(m.Verb)
 		e.str(m.Job)
 		e.str(string(m.Body))
+	case PeerCall:
+		e.num(m.ID)
+		e.str(m.Origin)
+		e.str(m.Address)
+		e.str(string(m.Body))
 	}
 	binary.BigEndian.PutUint32(e.b[start+4:], uint32(len(e.b)-start-peerHeader))
 	return e.b
@@ -254,6 +268,8 @@
 		m = PeerAnswer{ID: d.num(), Target: d.str(), Hops: d.num(), Status: d.num(), Body: []byte(d.str())}
 	case PeerRequest{}.kind():
 		m = PeerRequest{ID: d.num(), Origin: d.str(), Target: d.str(), Verb: d.str(), Job: d.str(), Body: []byte(d.str())}
+	case PeerCall{}.kind():
+		m = PeerCall{ID: d.num(), Origin: d.str(), Address: d.str(), Body: []byte(d.str())}
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -157,6 +157,13 @@
 	// ReportShare is the part of the leader's processor time for workers that
 	// report to it directly. The siblings answer the rest for it.
 	ReportShare = 0.15
+	// KeepsPart is the part of the workers that it could pay for which the leader
+	// keeps when it cannot keep all: passes over the queue come in bursts.
+	KeepsPart = 0.33
+	// SpreadUntil is the part of that number below which it keeps all again.
+	SpreadUntil = 0.8
+	// DelegateSlack is added to the time of a call that a sibling makes.
+	DelegateSlack = time.Second
 	// KeepsAll stands for all workers where a share of them is meant.
 	KeepsAll = 1000
 	// KeepsSteps is the number of steps in which that share changes.
