Renewals have a connection of their own, work for askers who have gone is dropped

Guards against what falling behind made worse: a renewal waited for a free connection to the state service behind users' requests; reports and polls whose askers had given up were still answered; a submission's body was read and decoded before the full queue refused it. Tests for each, and bounds on the allocations of an unchanged report, a refused submission and a health probe.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -143,7 +143,7 @@
 	}
 	c.renewing = true
 	sent, term := n.now, c.term
-	n.state("POST", protocol.RenewPath(c.lease), struct{}{}, func(status int, _ []byte) {
+	n.stateOn(ToClaim, "POST", protocol.RenewPath(c.lease), struct{}{}, func(status int, _ []byte) {
 		if c.term != term {
 			return
 		}
--- a/internal/coordination/fleet_size_test.go
+++ b/internal/coordination/fleet_size_test.go
@@ -171,7 +171,7 @@
 	if _, writes := sentTo(out, ToState, protocol.PathTxn); writes > 0 || len(j.copies) > 0 {
 		t.Errorf("%d transactions, %d tasks placed", writes, len(j.copies))
 	}
-	_, renewals := sentTo(out, ToState, protocol.RenewPath(n.claim.lease))
+	_, renewals := sentTo(out, ToClaim, protocol.RenewPath(n.claim.lease))
 	if renewals != 1 {
 		t.Fatalf("%d renewals", renewals)
 	}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -27,6 +27,7 @@
 // The outside systems.
 const (
 	ToState Target = iota
+	ToClaim        // the state service, on a connection kept for renewals of the claim
 	ToCloud
 	ToWorker
 )
@@ -372,9 +373,14 @@
 
 // state calls the state service and keeps note of whether it serves this node.
 func (n *Node) state(method, path string, body any, done func(status int, body []byte)) {
+	n.stateOn(ToState, method, path, body, done)
+}
+
+// stateOn is the same on a given connection.
+func (n *Node) stateOn(to Target, method, path string, body any, done func(status int, body []byte)) {
 	n.asked = n.now
 	n.calls.AllowN(n.now, 1) // counted in any case; users' requests look first
-	n.request(ToState, "", method, path, body, tuning.StateTimeout, func(status int, body []byte) {
+	n.request(to, "", method, path, body, tuning.StateTimeout, func(status int, body []byte) {
 		n.silent = status == 0
 		if status != 0 && status != 503 {
 			n.served = n.now
--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"testing"
 
-	"github.com/gappond/gappond/internal/config"
 	"github.com/gappond/gappond/internal/protocol"
 )
 
@@ -61,7 +60,7 @@
 	return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
 }
 
-// machineReport is what a worker with two tasks that run says.
+// machineReport is what an idle worker says.
 func machineReport(machine, seq int, token uint64) string {
 	return fmt.Sprintf(`{"berth":"i-%06d","address":"127.0.0.1:1","build":"t","yard":"a","loaners":false,"tenure":1,"tally":%d,"warrant":%d,"recall_s":null,"pieces":[]}`, machine, seq, token)
 }
@@ -89,6 +88,7 @@
 	} {
 		b.Run(name, func(b *testing.B) {
 			c := dialRaw(b, cfg.Listen)
+			seq := 1
 			b.ReportAllocs()
 			for b.Loop() {
 				seq++
@@ -98,6 +98,36 @@
 	}
 }
 
-var seq = 1
-
-var _ = config.Config{}
+// TestServeAllocations bounds what a request costs in allocations, on any machine:
+// those of the client, which formats its requests, included.
+func TestServeAllocations(t *testing.T) {
+	cfg, _ := startOwner(t, true, 800)
+	eventually(t, "ready", ready(t, cfg))
+	eventually(t, "leads", func() bool {
+		s, _, _ := call(t, cfg, "POST", protocol.PathReport, machineReport(1, 1, 0))
+		return s == 200
+	})
+	c := dialRaw(t, cfg.Listen)
+	seq := 10
+	for _, k := range []struct {
+		name   string
+		most   float64
+		status int
+		what   func() []byte
+	}{
+		{"unchanged report", 90, 200, func() []byte { return rawRequest("POST", protocol.PathReport, machineReport(7, seq, 0)) }},
+		{"refused submission", 60, 400, func() []byte { return rawRequest("POST", protocol.PathJobs, "[]") }},
+		{"health probe", 45, 200, func() []byte { return rawRequest("GET", protocol.PathReady, "") }},
+	} {
+		n := testing.AllocsPerRun(200, func() {
+			seq++
+			if got := c.do(t, k.what()); got != k.status {
+				t.Fatalf("%s: %d", k.name, got)
+			}
+		})
+		t.Logf("%s: %.0f allocations", k.name, n)
+		if n > k.most {
+			t.Errorf("%s: %.0f allocations, at most %.0f", k.name, n, k.most)
+		}
+	}
+}
--- a/internal/transport/owner.go
+++ b/internal/transport/owner.go
@@ -85,11 +85,11 @@
 				return
 			case <-due.C:
 			case e := <-o.answers:
-				batch = append(batch, e)
+				batch = o.admit(batch, e)
 			case e := <-o.urgent:
-				batch = append(batch, e)
+				batch = o.admit(batch, e)
 			case e := <-o.users:
-				batch = append(batch, e)
+				batch = o.admit(batch, e)
 			}
 			batch = o.next(batch)
 		}
@@ -104,17 +104,17 @@
 
 // next adds what waits to the batch, each kind by its rank and up to its limit.
 func (o *Owner) next(batch []coordination.Event) []coordination.Event {
-	batch = drain(batch, o.answers, tuning.BatchUrgent)
-	batch = drain(batch, o.urgent, tuning.BatchUrgent)
-	return drain(batch, o.users, tuning.BatchUsers)
+	batch = o.drain(batch, o.answers, tuning.BatchUrgent)
+	batch = o.drain(batch, o.urgent, tuning.BatchUrgent)
+	return o.drain(batch, o.users, tuning.BatchUsers)
 }
 
 // drain moves up to limit events that wait in a queue into the batch.
-func drain(batch []coordination.Event, queue chan coordination.Event, limit int) []coordination.Event {
+func (o *Owner) drain(batch []coordination.Event, queue chan coordination.Event, limit int) []coordination.Event {
 	for range limit {
 		select {
 		case e := <-queue:
-			batch = append(batch, e)
+			batch = o.admit(batch, e)
 		default:
 			return batch
 		}
@@ -122,6 +122,35 @@
 	return batch
 }
 
+// admit adds an event to the batch, unless whoever asked has gone: a node that has
+// fallen behind must not spend its time on answers that nobody waits for.
+func (o *Owner) admit(batch []coordination.Event, e coordination.Event) []coordination.Event {
+	if id := asker(e); id != 0 {
+		o.mu.Lock()
+		_, waits := o.waiting[id]
+		o.mu.Unlock()
+		if !waits {
+			return batch
+		}
+	}
+	return append(batch, e)
+}
+
+// asker is the id of the request that an event came with, 0 if it came with none.
+func asker(e coordination.Event) uint64 {
+	switch e := e.(type) {
+	case coordination.WorkerReport:
+		return e.ID
+	case coordination.Submit:
+		return e.ID
+	case coordination.Query:
+		return e.ID
+	case coordination.Cancel:
+		return e.ID
+	}
+	return 0
+}
+
 func (o *Owner) do(a coordination.Action) {
 	switch a := a.(type) {
 	case coordination.Request:
@@ -141,6 +170,12 @@
 	}
 }
 
+// shed is the answer when there is too much to do.
+func (o *Owner) shed() coordination.Reply {
+	o.metrics.sheds.Inc()
+	return coordination.Reply{Status: 503, RetryAfter: time.Second}
+}
+
 // ask hands a request to the owner and waits for its reply. Status 0: none
 // came in time.
 func (o *Owner) ask(ctx context.Context, queue chan coordination.Event, limit time.Duration, event func(id uint64) coordination.Event) coordination.Reply {
@@ -160,8 +195,7 @@
 	default:
 		// Full: answer at once that there is too much to do.
 		forget()
-		o.metrics.sheds.Inc()
-		return coordination.Reply{Status: 503, RetryAfter: time.Second}
+		return o.shed()
 	}
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -87,6 +87,10 @@
 
 func (o *Owner) handleSubmit(w http.ResponseWriter, r *http.Request) {
 	o.conns.bound(o.conns.keepUsers, w)
+	if len(o.users) == cap(o.users) {
+		respond(w, o.shed()) // before anything is spent on its body
+		return
+	}
 	body, ok := readBody(w, r)
 	if !ok {
 		return
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -317,6 +317,13 @@
 	if r := o.ask(ctx, o.users, time.Minute, func(id uint64) coordination.Event { return coordination.Query{ID: id} }); r.Status != 503 || r.RetryAfter == 0 {
 		t.Errorf("one too many gets %+v", r)
 	}
+	// A submission is then refused before its body is read.
+	body := &countingReader{}
+	w := httptest.NewRecorder()
+	o.handler().ServeHTTP(w, httptest.NewRequest("POST", protocol.PathJobs, body))
+	if w.Code != 503 || w.Header().Get("Retry-After") == "" || body.reads > 0 {
+		t.Errorf("a submission gets %d, Retry-After %q, after %d reads", w.Code, w.Header().Get("Retry-After"), body.reads)
+	}
 	go o.ask(ctx, o.urgent, time.Minute, func(id uint64) coordination.Event {
 		return coordination.WorkerReport{ID: id, Report: &protocol.Report{}}
 	})
@@ -446,3 +453,41 @@
 		t.Errorf("a batch of %d begins with %T", len(batch), batch[0])
 	}
 }
+
+// countingReader counts how often it is read.
+type countingReader struct{ reads int }
+
+func (r *countingReader) Read([]byte) (int, error) {
+	r.reads++
+	return 0, io.EOF
+}
+
+// TestGoneAskers: a node that has fallen behind does no work for requests whose
+// askers have given up; what nobody asked for in this way it does take.
+func TestGoneAskers(t *testing.T) {
+	cfg := &config.Config{Name: "n0", Operator: tuning.Defaults()}
+	log := slog.New(slog.DiscardHandler)
+	o := NewOwner(cfg, log, coordination.New(cfg, log, 1, "boot")) // its loop never runs
+	gone, leave := context.WithCancel(context.Background())
+	here, end := context.WithCancel(context.Background())
+	defer end()
+	for _, ctx := range []context.Context{gone, here} {
+		for range 3 {
+			go o.ask(ctx, o.urgent, time.Minute, func(id uint64) coordination.Event {
+				return coordination.WorkerReport{ID: id, Report: &protocol.Report{}}
+			})
+			go o.ask(ctx, o.users, time.Minute, func(id uint64) coordination.Event { return coordination.Query{ID: id} })
+		}
+	}
+	o.answers <- coordination.Response{ID: 99}
+	eventually(t, "all are queued", func() bool { return len(o.urgent) == 6 && len(o.users) == 6 })
+	leave()
+	eventually(t, "three of each have gone", func() bool {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return len(o.waiting) == 6
+	})
+	if batch := o.next(nil); len(batch) != 7 {
+		t.Errorf("a batch of %d, want the answer and six requests", len(batch))
+	}
+}
