--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -334,6 +334,7 @@
 	n.forward(id, r, n.now.Add(tuning.RelayTimeout))
 }
 
+// forward does so for a report that must be answered by a certain time.
 func (n *Node) forward(id uint64, r *protocol.Report, expire time.Time) {
 	if n.claim.term != 0 && n.lead != nil {
 		if front := n.front(r.Machine, n.cfg.Name, n.lead.keeps()); front != n.cfg.Name && n.whole() && n.sendAway(id, r, front) {
@@ -345,6 +346,9 @@
 	}
 	leader := n.claim.holder
 	if !n.leaderKnown() {
+		if to := n.leaderTold(); to != "" && n.sendAway(id, r, to) {
+			return
+		}
 		// The worker would try one node after the other, a second each, until one
 		// leads; all of them at once cost the time that an election needs.
 		n.parked = append(n.parked, parked{id, r, expire})
@@ -408,6 +412,20 @@
 	return n.lead != nil || n.claim.holder != "" && n.claim.holder != n.cfg.Name
 }
 
+// leaderTold is the leader that some sibling knows of while this node, which has
+// just started or cannot read the state service, does not; "" if none does.
+func (n *Node) leaderTold() string {
+	if n.mirror.Ready() {
+		return ""
+	}
+	for _, name := range n.links() {
+		if l := n.peers[name].status.Leader; l != "" && l != n.cfg.Name {
+			return l
+		}
+	}
+	return ""
+}
+
 // unpark routes the reports that waited for a leader once there is one, and
 // sends the workers on that have waited long enough.
 func (n *Node) unpark() {
--- a/internal/coordination/relay_test.go
+++ b/internal/coordination/relay_test.go
@@ -158,6 +158,11 @@
 func TestReportsWaitForALeader(t *testing.T) {
 	b := follower("b", 0)
 	b.claimGone()
+	// A node that has just started takes a sibling's word.
+	if got := reported(b, "i-1"); got != "a" {
+		t.Fatalf("a sibling knows the leader: %s", got)
+	}
+	b.peers["a"].status.Leader, b.peers["c"].status.Leader = "", ""
 	if got := reported(b, "i-1"); got != "parked" {
 		t.Fatalf("without a leader: %s", got)
 	}
