--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -114,18 +114,18 @@
 		if got := string(Encode(task)); got != want {
 			t.Errorf("%+v is written %s, want %s", task, got, want)
 		}
-		var back Task
-		if err := json.Unmarshal([]byte(want), &back); err != nil || back != task {
+		var back Tasks
+		if err := json.Unmarshal([]byte("["+want+"]"), &back); err != nil || len(back) != 1 || back[0] != task {
 			t.Errorf("%s is read %+v, %v", want, back, err)
 		}
 	}
-	var old Task
-	if err := json.Unmarshal([]byte(`{"i":3,"n":2,"m":"i-1","s":4}`), &old); err != nil || old != (Task{Index: 3, Attempt: 2, Machine: "i-1", Session: 4}) {
+	var old Tasks
+	if err := json.Unmarshal([]byte(`[{"i":3,"n":2,"m":"i-1","s":4}]`), &old); err != nil || len(old) != 1 || old[0] != (Task{Index: 3, Attempt: 2, Machine: "i-1", Session: 4}) {
 		t.Errorf("the long form is read %+v, %v", old, err)
 	}
-	for _, bad := range []string{`[]`, `[1]`, `[1,2,"m",1,5]`, `["a",1]`, `{"i":"1"}`} {
-		var back Task
-		if json.Unmarshal([]byte(bad), &back) == nil {
+	for _, bad := range []string{`[]`, `[1]`, `[1,2,"m",1,5]`, `["a",1]`, `[1,-1]`, `[1,2,3,4]`, `{"i":"1"}`} {
+		var back Tasks
+		if json.Unmarshal([]byte("["+bad+"]"), &back) == nil {
 			t.Errorf("%s is taken", bad)
 		}
 	}
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -18,6 +18,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -127,40 +128,53 @@
 	return append(b, ']'), nil
 }
 
-// UnmarshalJSON reads it, or the long form that version 0.1 wrote.
-func (t *Task) UnmarshalJSON(value []byte) error {
-	if len(value) > 0 && value[0] == '{' {
-		var long struct {
-			Index   int    `json:"i"`
-			Attempt uint64 `json:"n"`
-			Machine string `json:"m"`
-			Session uint64 `json:"s"`
-			Done    bool   `json:"d"`
-		}
-		err := json.Unmarshal(value, &long)
-		*t = Task(long)
-		return err
-	}
-	var fields []json.RawMessage
-	if err := json.Unmarshal(value, &fields); err != nil {
-		return err
-	}
-	if len(fields) < 2 || len(fields) > 4 {
-		return fmt.Errorf("a task of %d fields", len(fields))
-	}
-	*t = Task{Done: len(fields) == 3}
-	into := []any{&t.Index, &t.Attempt, &t.Machine, &t.Session}
-	if t.Done {
-		into = into[:2]
+// Tasks are the tasks of a record. They are read all at once: a new leader reads
+// those of every unfinished job before it does anything else.
+type Tasks []Task
+
+// UnmarshalJSON reads the short forms, or the long one that version 0.1 wrote.
+func (list *Tasks) UnmarshalJSON(value []byte) error {
+	var short [][]json.RawMessage
+	if err := json.Unmarshal(value, &short); err != nil {
+		return list.unmarshalLong(value)
 	}
-	for i, f := range fields[:min(len(fields), len(into))] {
-		if err := json.Unmarshal(f, into[i]); err != nil {
+	*list = make(Tasks, len(short))
+	for i, fields := range short {
+		if len(fields) < 2 || len(fields) > 4 {
+			return fmt.Errorf("a task of %d fields", len(fields))
+		}
+		t := &(*list)[i]
+		t.Done = len(fields) == 3
+		var errs [4]error
+		t.Index, errs[0] = strconv.Atoi(string(fields[0]))
+		t.Attempt, errs[1] = strconv.ParseUint(string(fields[1]), 10, 64)
+		if len(fields) == 4 {
+			errs[2] = json.Unmarshal(fields[2], &t.Machine)
+			t.Session, errs[3] = strconv.ParseUint(string(fields[3]), 10, 64)
+		}
+		if err := errors.Join(errs[:]...); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func (list *Tasks) unmarshalLong(value []byte) error {
+	var long []struct {
+		Index   int    `json:"i"`
+		Attempt uint64 `json:"n"`
+		Machine string `json:"m"`
+		Session uint64 `json:"s"`
+		Done    bool   `json:"d"`
+	}
+	err := json.Unmarshal(value, &long)
+	*list = nil
+	for _, t := range long {
+		*list = append(*list, Task(t))
+	}
+	return err
+}
+
 // Job is the record of an unfinished job. Writer is unique to every write: by
 // it a transaction whose answer was lost is told from one that never happened.
 type Job struct {
@@ -173,7 +187,7 @@
 	Done      int           `json:"done,omitempty"`
 	Placed    int           `json:"placed,omitempty"`
 	Chunk     int           `json:"chunk"` // tasks per record
-	Tasks     []Task        `json:"tasks,omitempty"`
+	Tasks     Tasks         `json:"tasks,omitempty"`
 }
 
 // Writer is the writer's name that a record begins with, found without decoding
@@ -190,7 +204,7 @@
 // Chunk is a further record of a job's tasks.
 type Chunk struct {
 	Writer string `json:"w"`
-	Tasks  []Task `json:"tasks,omitempty"`
+	Tasks  Tasks  `json:"tasks,omitempty"`
 }
 
 // Rack is the room record of some machines of one zone. A claim on a machine's
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -23,8 +23,8 @@
 	renewed  time.Time // when the last renewal that succeeded was sent
 	renewing bool
 	renewAt  time.Time
-	// The process stood still until woken: a renewal sent since must prove the
-	// claim before anything else is done under it.
+	// The process stood still until woken, or won the claim then: a renewal sent
+	// since must prove the claim before anything else is done under it.
 	unproven bool
 	woken    time.Time
 }
@@ -55,12 +55,8 @@
 	if n.claim.term == 0 {
 		return
 	}
-	switch {
-	case stamp > n.claim.term:
+	if stamp > n.claim.term {
 		n.stepDown("claim taken over")
-	case stamp == n.claim.term && n.lead == nil:
-		// The mirror has now seen everything that came before the claim.
-		n.takeOver()
 	}
 }
 
@@ -115,10 +111,8 @@
 				return // somebody has taken it over already
 			}
 			c.term, c.lease, c.renewed, c.renewAt = a.Revision, l.Lease, sent, n.now
+			c.unproven, c.woken = true, n.now
 			n.log.Info("claim won", "term", c.term)
-			if c.stamp == c.term {
-				n.takeOver()
-			}
 		})
 	})
 }
@@ -161,6 +155,17 @@
 	})
 }
 
+// tickTakeOver begins to lead. The mirror has then seen everything that came
+// before the claim, and the claim was renewed since it was won: reading the
+// records of a large deployment takes a second of a small controller's time, and
+// the return of all workers comes on top, so that claims lapsed before their first
+// renewal left.
+func (n *Node) tickTakeOver() {
+	if n.lead == nil && n.entitled() && !n.claim.unproven && n.claim.stamp == n.claim.term {
+		n.takeOver()
+	}
+}
+
 // entitled says whether the node may act for the controllers: its claim was
 // renewed lately enough that a successor still counts with it.
 func (n *Node) entitled() bool {
--- a/internal/coordination/fleet_size_test.go
+++ b/internal/coordination/fleet_size_test.go
@@ -241,3 +241,55 @@
 		t.Errorf("with another leader: %s", got)
 	}
 }
+
+// TestRenewedBeforeTakeover: a node that has won the claim renews it before it
+// reads the records, which takes a small controller a second, and plans nothing in
+// the step in which it does.
+func TestRenewedBeforeTakeover(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	n := l.n
+	n.stepDown("a test")
+	n.mirror.BeginLoad()
+	n.mirror.LoadPage(&protocol.Entries{Revision: 1})
+	n.claim.holder, n.claim.stamp = "", 0
+	n.now = n.now.Add(time.Second)
+	request := func(out []Action, path string) Request {
+		t.Helper()
+		for _, a := range out {
+			if r, ok := a.(Request); ok && r.Path == path {
+				return r
+			}
+		}
+		t.Fatalf("nothing is sent to %s", path)
+		return Request{}
+	}
+	out := n.Step(n.now, nil)
+	grant := request(out, protocol.PathLeases)
+	out = n.Step(n.now, []Event{Response{ID: grant.ID, Status: 200, Body: []byte(`{"permit":5}`)}})
+	claim := request(out, protocol.PathTxn)
+	n.claimSeen(bookkeeping.Encode(bookkeeping.Claim{Node: "n"}), 9)
+	out = n.Step(n.now, []Event{Response{ID: claim.ID, Status: 200, Body: []byte(`{"ledger":9}`)}})
+	renewal := request(out, protocol.RenewPath(5))
+	if n.Leading() {
+		t.Fatal("leads before its claim was renewed")
+	}
+	out = n.Step(n.now, []Event{WorkerReport{ID: 77, Report: &protocol.Report{Machine: "i-1", Session: 1, Seq: 1}}})
+	for _, a := range out {
+		if r, ok := a.(Reply); ok {
+			t.Fatalf("a report is answered %d meanwhile", r.Status)
+		}
+	}
+	out = n.Step(n.now.Add(10*time.Millisecond), []Event{Response{ID: renewal.ID, Status: 200, Body: []byte(`{}`)}})
+	if !n.Leading() || !n.acting() || n.lead.planAt != (time.Time{}) {
+		t.Fatalf("leads %v, planned at %v", n.Leading(), n.lead.planAt)
+	}
+	answered := false
+	for _, a := range n.Step(n.now.Add(tuning.Tick), nil) {
+		if r, ok := a.(Reply); ok && r.ID == 77 {
+			answered = r.Status == 200
+		}
+	}
+	if !answered {
+		t.Error("the report that waited has no answer")
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -169,6 +169,7 @@
 	expireAt  time.Time            // when they are looked over for late ones
 	carriedIn map[uint64]carriedIn // requests of siblings that this node answers
 	delegated map[uint64]delegated // calls that siblings make
+	moves     *rate.Limiter        // of workers to their fronts
 	contacts  map[string]contact   // workers that report here, or did
 	parked    []parked
 	mail      map[string]*mailbox
@@ -196,6 +197,10 @@
 		n.names = append(n.names, s.Name)
 	}
 	slices.Sort(n.names)
+	n.moves = rate.NewLimiter(rate.Inf, 0)
+	if pause := cfg.Cluster.Resources.Pause(tuning.MoveCost, tuning.MoveShare); pause > 0 {
+		n.moves = rate.NewLimiter(rate.Every(pause), tuning.MovesAtOnce)
+	}
 	n.setShares()
 	return n
 }
@@ -324,6 +329,7 @@
 		n.lead.tick()
 	}
 	n.flushPolls()
+	n.tickTakeOver() // at the end: what it leads to is done in the next step
 }
 
 // Ready says whether the node can take requests. An outage of the state
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -337,7 +337,8 @@
 // forward does so for a report that must be answered by a certain time.
 func (n *Node) forward(id uint64, r *protocol.Report, expire time.Time) {
 	if n.claim.term != 0 && n.lead != nil {
-		if front := n.front(r.Machine, n.cfg.Name, n.lead.keeps()); front != n.cfg.Name && n.whole() && n.sendAway(id, r, front) {
+		if front := n.front(r.Machine, n.cfg.Name, n.lead.keeps()); front != n.cfg.Name && !n.sentLately(r.Machine) && n.whole() && n.mayMove() {
+			n.sendAway(id, r, front)
 			return
 		}
 		status, body := n.takeReport(r)
@@ -346,7 +347,8 @@
 	}
 	leader := n.claim.holder
 	if !n.leaderKnown() {
-		if to := n.leaderTold(); to != "" && n.sendAway(id, r, to) {
+		if to := n.leaderTold(); to != "" && !n.sentLately(r.Machine) {
+			n.sendAway(id, r, to)
 			return
 		}
 		// The worker would try one node after the other, a second each, until one
@@ -354,7 +356,8 @@
 		n.parked = append(n.parked, parked{id, r, expire})
 		return
 	}
-	if to := n.redirection(r.Machine, leader); to != "" && n.sendAway(id, r, to) {
+	if to := n.redirection(r.Machine, leader); to != "" {
+		n.sendAway(id, r, to)
 		return
 	}
 	n.nextID++
@@ -369,9 +372,14 @@
 // fetches the leader's answer for it.
 func (n *Node) redirection(machine, leader string) string {
 	c := n.contacts[machine]
+	if n.sentLately(machine) {
+		return ""
+	}
 	if !n.reach(leader) {
-		if n.now.Sub(c.fronted) < tuning.RelayMemory {
-			return leader // it is here for the leader's sake, and may well reach it
+		if n.now.Sub(c.fronted) < tuning.RelayMemory && n.mayMove() {
+			// It is here for the leader's sake, and may well reach it. All at once would
+			// be more connections than the leader can open; mail carries some meanwhile.
+			return leader
 		}
 		return ""
 	}
@@ -383,10 +391,10 @@
 		return "" // it has yet to say how many it keeps
 	}
 	to := n.front(machine, leader, s.Keeps)
-	if to != leader && !n.whole() {
-		to = n.cfg.Name // the front may be what is missing
-	}
-	if to == n.cfg.Name {
+	switch {
+	case s.Keeps >= tuning.KeepsAll:
+	case to == n.cfg.Name, !n.whole(), !n.mayMove():
+		// It stays here: the front may be what is missing, or others move first.
 		c.fronted = n.now
 		n.contacts[machine] = c
 		return ""
@@ -394,17 +402,24 @@
 	return to
 }
 
-// sendAway sends a worker to another node, unless it was lately and came back: it
-// cannot reach that one then. After a while it is sent again, for the cut may be
-// over, and answering it elsewhere costs more.
-func (n *Node) sendAway(id uint64, r *protocol.Report, to string) bool {
-	c := n.contacts[r.Machine]
-	if !c.sent.IsZero() && c.term == n.claim.stamp && n.now.Sub(c.sent) < tuning.RelayMemory {
-		return false
-	}
+// mayMove says whether one more worker may be sent to its front now. After all
+// controllers were lost every worker is somewhere, and answering it there costs
+// less than the connection that it would open elsewhere: moves have their part of
+// the processor time, so that they do not take the time of an election.
+func (n *Node) mayMove() bool { return n.moves.AllowN(n.now, 1) }
+
+// sentLately says whether a worker was sent to another node lately and came back:
+// it cannot reach that one then. After a while it is sent again, for the cut may be
+// over, and answering it here costs more.
+func (n *Node) sentLately(machine string) bool {
+	c := n.contacts[machine]
+	return !c.sent.IsZero() && c.term == n.claim.stamp && n.now.Sub(c.sent) < tuning.RelayMemory
+}
+
+// sendAway sends a worker to another node.
+func (n *Node) sendAway(id uint64, r *protocol.Report, to string) {
 	n.contacts[r.Machine] = contact{term: n.claim.stamp, sent: n.now}
 	n.reply(id, 421, protocol.Redirect{ReportTo: to})
-	return true
 }
 
 // leaderKnown says whether somebody leads, as far as this node knows.
--- a/internal/coordination/relay_test.go
+++ b/internal/coordination/relay_test.go
@@ -10,6 +10,7 @@
 	"github.com/gappond/gappond/internal/config"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
+	"golang.org/x/time/rate"
 )
 
 // follower is one of three nodes, each linked to the others, while "a" leads
@@ -129,6 +130,7 @@
 		for _, s := range []string{"o", "p"} {
 			n.peers[s] = &peer{up: true, heard: n.now, status: protocol.PeerStatus{Links: []string{"n", "x"}}}
 		}
+		n.moves.SetLimit(rate.Inf)
 		for i := range 300 {
 			l.testMachine(fmt.Sprintf("i-%06d", i), "big", "a", false)
 		}
@@ -254,3 +256,36 @@
 		t.Errorf("the answer goes back as %+v", back)
 	}
 }
+
+// TestMovesArePaced: after all controllers were lost every worker is at some node;
+// they are sent to their fronts by and by, and answered meanwhile.
+func TestMovesArePaced(t *testing.T) {
+	b := follower("b", 250)
+	b.cfg.Cluster.Resources.Cores = 0.018
+	paced := New(b.cfg, b.log, 1, "boot")
+	b.moves = paced.moves
+	sent := 0
+	for i := range 600 {
+		if got := reported(b, fmt.Sprintf("i-%06d", i)); got == "a" || got == "c" {
+			sent++
+		} else if got != "carried to a" {
+			t.Fatalf("report %d: %s", i, got)
+		}
+	}
+	if sent != tuning.MovesAtOnce {
+		t.Errorf("%d workers are sent away at once", sent)
+	}
+	b.now = b.now.Add(5 * time.Second)
+	for _, p := range b.peers {
+		p.heard = b.now
+	}
+	more := 0
+	for i := range 600 {
+		if got := reported(b, fmt.Sprintf("i-%06d", 1000+i)); got == "a" || got == "c" {
+			more++
+		}
+	}
+	if want := int(5 / b.cfg.Cluster.Resources.Pause(tuning.MoveCost, tuning.MoveShare).Seconds()); more < want-1 || more > want+1 {
+		t.Errorf("%d workers are sent away after 5 s, want %d", more, want)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -162,6 +162,13 @@
 	KeepsPart = 0.33
 	// SpreadUntil is the part of that number below which it keeps all again.
 	SpreadUntil = 0.8
+	// MoveCost is about what sending a worker to its front costs: the answer, and
+	// there a new connection with its first report.
+	MoveCost = 600 * time.Microsecond
+	// MoveShare is the part of the processor time for moves.
+	MoveShare = 0.1
+	// MovesAtOnce is how many workers may be sent away at once.
+	MovesAtOnce = 20
 	// DelegateSlack is added to the time of a call that a sibling makes.
 	DelegateSlack = time.Second
 	// KeepsAll stands for all workers where a share of them is meant.
