A claim outlives its renewal by a takeover's time, the leader sheds workers faster

Sending a worker away costs the leader no more than an answer, so it has the pace of all its siblings for it, a quarter of each one's time; the claim's 3 s grow by what a takeover takes on the share of a core (0.25 s at 0.24, 0.8 s at 0.072, 1.5 s at most), and the grace shrinks by as much, so that cancellations keep their bound.

--- a/internal/coordination/due.go
+++ b/internal/coordination/due.go
@@ -64,7 +64,7 @@
 		by(c.renewAt)
 		fallthrough
 	default:
-		by(c.renewed.Add(tuning.ClaimTTL + n.grace()))
+		by(c.renewed.Add(n.claimTTL() + n.grace()))
 	}
 }
 
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -34,10 +34,18 @@
 // time in which a cancellation must take effect.
 func (n *Node) grace() time.Duration {
 	w := n.cfg.Cluster.Workers
-	g := seconds(w.CancelS-w.LeaseS) - tuning.AuthorityMargin
+	g := seconds(w.CancelS-w.LeaseS) - tuning.AuthorityMargin - n.takeoverTime()
 	return min(max(g, 0), tuning.MaxGrace)
 }
 
+// takeoverTime is how long a takeover takes on this node's share of a core.
+func (n *Node) takeoverTime() time.Duration {
+	return min(n.cfg.Cluster.Resources.Pause(tuning.TakeoverWork, 1), tuning.TakeoverMost)
+}
+
+// claimTTL is how long the claim outlives its last renewal.
+func (n *Node) claimTTL() time.Duration { return tuning.ClaimTTL + n.takeoverTime() }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // withDrift stretches a span by the largest disagreement of two clocks.
@@ -89,7 +97,7 @@
 		c.retryAt = n.now.Add(tuning.ClaimRetry + n.jitter(tuning.ClaimJitter))
 	}
 	sent := n.now
-	n.state("POST", protocol.PathLeases, protocol.LeaseRequest{TTLMs: tuning.ClaimTTL.Milliseconds()}, func(status int, body []byte) {
+	n.state("POST", protocol.PathLeases, protocol.LeaseRequest{TTLMs: n.claimTTL().Milliseconds()}, func(status int, body []byte) {
 		var l protocol.LeaseAnswer
 		if status != 200 || json.Unmarshal(body, &l) != nil || l.Lease == 0 {
 			fail()
@@ -169,7 +177,7 @@
 // entitled says whether the node may act for the controllers: its claim was
 // renewed lately enough that a successor still counts with it.
 func (n *Node) entitled() bool {
-	return n.claim.term != 0 && n.now.Sub(n.claim.renewed) < tuning.ClaimTTL+n.grace()
+	return n.claim.term != 0 && n.now.Sub(n.claim.renewed) < n.claimTTL()+n.grace()
 }
 
 // acting says whether the node may command workers and write records now.
--- a/internal/coordination/fleet_size_test.go
+++ b/internal/coordination/fleet_size_test.go
@@ -185,7 +185,7 @@
 	if got := status(out, 2); got != 200 || !n.acting() {
 		t.Errorf("after the renewal a report is answered %d", got)
 	}
-	n.Step(n.now.Add(tuning.ClaimTTL+n.grace()+time.Second), nil)
+	n.Step(n.now.Add(n.claimTTL()+n.grace()+time.Second), nil)
 	if n.Leading() {
 		t.Error("leads on a claim that has lapsed")
 	}
@@ -293,3 +293,20 @@
 		t.Error("the report that waited has no answer")
 	}
 }
+
+// TestAuthorityBound: whatever the share of a core, a claim that outlives its last
+// renewal for longer takes it from the grace: what a leader that was cut off kept
+// alive is gone within the time that a cancellation may take.
+func TestAuthorityBound(t *testing.T) {
+	for _, cores := range []float64{0, 0.018, 0.06, 0.072, 0.24} {
+		l := testLeader(time.Unix(1_800_000_000, 0))
+		l.n.cfg.Cluster.Resources.Cores = cores
+		w := l.n.cfg.Cluster.Workers
+		if got, most := l.n.claimTTL()+l.n.grace()+seconds(w.LeaseS), seconds(w.CancelS)-tuning.AuthorityMargin+tuning.ClaimTTL; got > most {
+			t.Errorf("%v of a core: tasks stay for %v, at most %v", cores, got, most)
+		}
+		if ttl := l.n.claimTTL(); ttl < tuning.ClaimTTL || ttl > tuning.ClaimTTL+tuning.TakeoverMost {
+			t.Errorf("%v of a core: a claim of %v", cores, ttl)
+		}
+	}
+}
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -170,6 +170,7 @@
 	carriedIn map[uint64]carriedIn // requests of siblings that this node answers
 	delegated map[uint64]delegated // calls that siblings make
 	moves     *rate.Limiter        // of workers to their fronts
+	sheds     *rate.Limiter        // the same by the leader, to all siblings
 	contacts  map[string]contact   // workers that report here, or did
 	parked    []parked
 	mail      map[string]*mailbox
@@ -197,9 +198,10 @@
 		n.names = append(n.names, s.Name)
 	}
 	slices.Sort(n.names)
-	n.moves = rate.NewLimiter(rate.Inf, 0)
+	n.moves, n.sheds = rate.NewLimiter(rate.Inf, 0), rate.NewLimiter(rate.Inf, 0)
 	if pause := cfg.Cluster.Resources.Pause(tuning.MoveCost, tuning.MoveShare); pause > 0 {
 		n.moves = rate.NewLimiter(rate.Every(pause), tuning.MovesAtOnce)
+		n.sheds = rate.NewLimiter(rate.Every(pause/time.Duration(max(1, len(cfg.Siblings)))), tuning.MovesAtOnce)
 	}
 	n.setShares()
 	return n
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -406,7 +406,14 @@
 // controllers were lost every worker is somewhere, and answering it there costs
 // less than the connection that it would open elsewhere: moves have their part of
 // the processor time, so that they do not take the time of an election.
-func (n *Node) mayMove() bool { return n.moves.AllowN(n.now, 1) }
+// A leader pays nothing for a move that an answer would not cost, and has all of
+// its siblings to take the workers in.
+func (n *Node) mayMove() bool {
+	if n.lead != nil {
+		return n.sheds.AllowN(n.now, 1)
+	}
+	return n.moves.AllowN(n.now, 1)
+}
 
 // sentLately says whether a worker was sent to another node lately and came back:
 // it cannot reach that one then. After a while it is sent again, for the cut may be
--- a/internal/coordination/relay_test.go
+++ b/internal/coordination/relay_test.go
@@ -130,7 +130,7 @@
 		for _, s := range []string{"o", "p"} {
 			n.peers[s] = &peer{up: true, heard: n.now, status: protocol.PeerStatus{Links: []string{"n", "x"}}}
 		}
-		n.moves.SetLimit(rate.Inf)
+		n.sheds.SetLimit(rate.Inf)
 		for i := range 300 {
 			l.testMachine(fmt.Sprintf("i-%06d", i), "big", "a", false)
 		}
@@ -275,17 +275,19 @@
 	if sent != tuning.MovesAtOnce {
 		t.Errorf("%d workers are sent away at once", sent)
 	}
-	b.now = b.now.Add(5 * time.Second)
-	for _, p := range b.peers {
-		p.heard = b.now
-	}
 	more := 0
 	for i := range 600 {
+		if i%120 == 0 { // five times
+			b.now = b.now.Add(time.Second)
+			for _, p := range b.peers {
+				p.heard = b.now
+			}
+		}
 		if got := reported(b, fmt.Sprintf("i-%06d", 1000+i)); got == "a" || got == "c" {
 			more++
 		}
 	}
 	if want := int(5 / b.cfg.Cluster.Resources.Pause(tuning.MoveCost, tuning.MoveShare).Seconds()); more < want-1 || more > want+1 {
-		t.Errorf("%d workers are sent away after 5 s, want %d", more, want)
+		t.Errorf("%d workers are sent away in 5 s, want %d", more, want)
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -11,6 +11,12 @@
 	// enough that a crashed leader is replaced before workers' reports have
 	// gone unanswered for two intervals; long enough for two lost renewals.
 	ClaimTTL = 3 * time.Second
+	// TakeoverWork is about what a takeover costs of a core: the records of some
+	// hundred jobs are read while all workers return. ClaimTTL is longer by the time
+	// that this takes, for no healthy leader to lose its claim over it,
+	TakeoverWork = 60 * time.Millisecond
+	// but no more than this: so much later is a crashed leader replaced.
+	TakeoverMost = 1500 * time.Millisecond
 	// ClaimRenew is how often the claim is renewed: three tries within the TTL.
 	ClaimRenew = 900 * time.Millisecond
 	// Standstill is the pause between two steps of a node from which on its claim
@@ -165,8 +171,8 @@
 	// MoveCost is about what sending a worker to its front costs: the answer, and
 	// there a new connection with its first report.
 	MoveCost = 600 * time.Microsecond
-	// MoveShare is the part of the processor time for moves.
-	MoveShare = 0.1
+	// MoveShare is the part of each node's processor time for moves to it.
+	MoveShare = 0.25
 	// MovesAtOnce is how many workers may be sent away at once.
 	MovesAtOnce = 20
 	// DelegateSlack is added to the time of a call that a sibling makes.
