--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -80,6 +80,7 @@
 		s, _, _ := call(b, cfg, "POST", protocol.PathReport, machineReport(1, 1, 0))
 		return s == 200
 	})
+	seq := 1
 	for name, request := range map[string]func(i int) []byte{
 		"report":  func(i int) []byte { return rawRequest("POST", protocol.PathReport, machineReport(7, i, 0)) },
 		"ready":   func(int) []byte { return rawRequest("GET", protocol.PathReady, "") },
@@ -88,7 +89,6 @@
 	} {
 		b.Run(name, func(b *testing.B) {
 			c := dialRaw(b, cfg.Listen)
-			seq := 1
 			b.ReportAllocs()
 			for b.Loop() {
 				seq++
