--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -476,7 +476,11 @@
 		}
 	}
 	n.mirror.Revision = max(n.mirror.Revision, w.Revision)
-	n.watchAt = n.now.Add(n.requestPause(tuning.WatchPause, tuning.WatchShare))
+	pause := tuning.WatchPause // the leader's: jobs wait for it
+	if n.lead == nil {
+		pause = n.requestPause(pause, tuning.WatchShare)
+	}
+	n.watchAt = n.now.Add(pause)
 	n.tickMirror()
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -431,7 +431,7 @@
 	// core: a read, the waking up, and the write of the answers.
 	GatherCost = 250 * time.Microsecond
 	// GatherShare is the part of the leader's processor time for these.
-	GatherShare = 0.1
+	GatherShare = 0.15
 	// GatherMost bounds how long reports are gathered: a task's end is known so
 	// much later.
 	GatherMost = 250 * time.Millisecond
