--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -79,3 +80,31 @@
 	}
 	b.ReportMetric(float64(l.looks), "looks/op")
 }
+
+// TestBytesKept bounds what a leader keeps for each machine with its task and for
+// each job that waits, with a margin: at half as many machines again as the
+// smallest controllers have, that is a few of their megabytes.
+func TestBytesKept(t *testing.T) {
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	empty := heap()
+	small := fullFleet(0)
+	full := heap()
+	large := fullFleet(4000)
+	waiting := heap()
+	machines := float64(full-empty) / float64(len(small.roster))
+	jobs := (float64(waiting-full) - float64(full-empty)) / 4000
+	t.Logf("%.0f bytes a machine with two tasks, %.0f a job that waits", machines, jobs)
+	if machines > 6<<10 {
+		t.Errorf("%.0f bytes for each machine", machines)
+	}
+	if jobs > 6<<10 {
+		t.Errorf("%.0f bytes for each job that waits", jobs)
+	}
+	runtime.KeepAlive(small)
+	runtime.KeepAlive(large)
+}
