--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -285,8 +285,8 @@
 
 func (l *leader) send(tx *commit) {
 	l.n.state("POST", protocol.PathTxn, tx.body, func(status int, body []byte) {
-		if l.n.lead != l {
-			return
+		if l.n.lead != l || l.inFlight != tx {
+			return // the watch has shown it meanwhile
 		}
 		a, sound := parse[protocol.TxnAnswer](body)
 		switch {
@@ -314,7 +314,7 @@
 // resend sends the same transaction again after a pause.
 func (l *leader) resend(tx *commit) {
 	l.n.after(tuning.RetryPause, func() {
-		if l.n.lead == l {
+		if l.n.lead == l && l.inFlight == tx {
 			l.send(tx)
 		}
 	})
@@ -323,7 +323,7 @@
 // findOut reads back whether a transaction whose answer was lost was applied.
 func (l *leader) findOut(tx *commit) {
 	l.n.state("GET", protocol.KeyPath(tx.probe), nil, func(status int, body []byte) {
-		if l.n.lead != l {
+		if l.n.lead != l || l.inFlight != tx {
 			return
 		}
 		switch status {
@@ -341,7 +341,7 @@
 			l.conflict(tx, nil)
 		default:
 			l.n.after(tuning.RetryPause, func() {
-				if l.n.lead == l {
+				if l.n.lead == l && l.inFlight == tx {
 					l.findOut(tx)
 				}
 			})
--- a/internal/coordination/due.go
+++ b/internal/coordination/due.go
@@ -28,6 +28,8 @@
 		}
 	case !n.watching:
 		by(n.watchAt)
+	case n.ahead.revision > n.mirror.Revision:
+		by(n.ahead.sent.Add(tuning.WatchStuck))
 	}
 	if n.mirror.Ready() {
 		by(n.asked.Add(tuning.StateProbe))
@@ -64,7 +66,7 @@
 		by(c.renewAt)
 		fallthrough
 	default:
-		by(c.renewed.Add(n.claimTTL() + n.grace()))
+		by(n.provenAt().Add(n.authority()))
 	}
 }
 
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -46,6 +46,24 @@
 // claimTTL is how long the claim outlives its last renewal.
 func (n *Node) claimTTL() time.Duration { return tuning.ClaimTTL + n.takeoverTime() }
 
+// authority is how long a leader may act since its claim was last renewed and
+// since it last knew every cancellation. What it answers a worker at the end of it
+// keeps that worker's tasks for a lease: a cancellation that somebody confirmed
+// the moment after it last knew must have taken effect by then.
+func (n *Node) authority() time.Duration {
+	w := n.cfg.Cluster.Workers
+	bound := seconds(w.CancelS) - withDrift(seconds(w.LeaseS)) - tuning.CancelMargin
+	return min(n.claimTTL()+n.grace(), max(bound, 0))
+}
+
+// provenAt is the moment from which a leader's authority counts.
+func (n *Node) provenAt() time.Time {
+	if n.known.Before(n.claim.renewed) {
+		return n.known
+	}
+	return n.claim.renewed
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // withDrift stretches a span by the largest disagreement of two clocks.
@@ -137,13 +155,16 @@
 func (n *Node) tickClaim() {
 	c := &n.claim
 	if !n.entitled() {
-		n.stepDown("claim not renewed in time")
+		n.stepDown("not proven to lead in time")
 		return
 	}
 	if c.renewing || n.now.Before(c.renewAt) {
 		return
 	}
 	c.renewing = true
+	if n.now.Sub(n.known) >= tuning.KnownFor {
+		n.lookAhead()
+	}
 	sent, term := n.now, c.term
 	n.stateOn(ToClaim, "POST", protocol.RenewPath(c.lease), struct{}{}, func(status int, _ []byte) {
 		if c.term != term {
@@ -175,9 +196,10 @@
 }
 
 // entitled says whether the node may act for the controllers: its claim was
-// renewed lately enough that a successor still counts with it.
+// renewed lately enough that a successor still counts with it, and it has known
+// all cancellations lately enough that none can be kept waiting by what it says.
 func (n *Node) entitled() bool {
-	return n.claim.term != 0 && n.now.Sub(n.claim.renewed) < n.claimTTL()+n.grace()
+	return n.claim.term != 0 && n.now.Sub(n.provenAt()) < n.authority()
 }
 
 // acting says whether the node may command workers and write records now.
--- a/internal/coordination/fences_test.go
+++ b/internal/coordination/fences_test.go
@@ -1,7 +1,9 @@
 package coordination
 
 import (
+	"encoding/json"
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -117,7 +119,7 @@
 	lease := seconds(l.n.cfg.Cluster.Workers.LeaseS)
 	at := func(d time.Duration) {
 		l.n.now = start.Add(d)
-		l.n.claim.renewed = l.n.now
+		l.n.claim.renewed, l.n.known = l.n.now, l.n.now
 		l.tickMachines()
 	}
 	at(lease + l.n.grace() - time.Second)
@@ -213,7 +215,7 @@
 		}
 		for range 100 {
 			l.n.now = l.n.now.Add(tuning.WatchMachines)
-			l.n.claim.renewed, m.lastReport = l.n.now, l.n.now
+			l.n.claim.renewed, l.n.known, m.lastReport, m.answered = l.n.now, l.n.now, l.n.now, l.n.now
 			l.n.out = nil
 			l.tickMachines()
 			for _, a := range l.n.out {
@@ -270,7 +272,7 @@
 		lease := seconds(l.n.cfg.Cluster.Workers.LeaseS)
 		returned := func(till time.Duration) (n int) {
 			for ; l.n.now.Sub(start) < till; l.n.now = l.n.now.Add(tuning.WatchMachines) {
-				l.n.claim.renewed, l.n.out = l.n.now, nil
+				l.n.claim.renewed, l.n.known, l.n.out = l.n.now, l.n.now, nil
 				for i, m := range l.roster {
 					if i >= c.silent {
 						m.lastReport, m.answered = l.n.now, l.n.now
@@ -328,3 +330,113 @@
 		}
 	}
 }
+
+// TestMuteWorker: a worker that answers calls while no report of it comes loses
+// its tasks with its lease, so it gets none; it is asked for none of its room.
+func TestMuteWorker(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	lease := seconds(l.n.cfg.Cluster.Workers.LeaseS)
+	for range int(lease / time.Second) {
+		l.n.now = l.n.now.Add(time.Second)
+		l.n.claim.renewed, l.n.known = l.n.now, l.n.now
+		l.report(&protocol.Report{Machine: m.id, Address: "h:1", Type: m.typeName, Zone: m.zone, Session: 1, Seq: m.seq + 1, Token: l.n.claim.term}, false)
+	}
+	if !l.alive(m) || l.open(m) {
+		t.Errorf("alive %v, takes work %v", l.alive(m), l.open(m))
+	}
+	l.testReport(m, l.n.claim.term)
+	if !l.open(m) {
+		t.Error("takes no work though it reports again")
+	}
+}
+
+// TestOwnWriteSeen: a transaction whose answer is lost is done once the watch
+// shows it; the answer to its repetition then means nothing.
+func TestOwnWriteSeen(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	l.testMachine("i-1", "big", "a", false)
+	j := l.testJob(gangOf(1, 1))
+	l.placeGang(j)
+	l.commitNext()
+	sent := l.n.lastRequest(t, ToState)
+	var txn protocol.Txn
+	if err := json.Unmarshal(sent.Body, &txn); err != nil {
+		t.Fatal(err)
+	}
+	last := txn.Then[len(txn.Then)-1]
+	l.changed(&protocol.WatchEvent{Set: last.Set, Value: last.Value, Stamp: 44})
+	if c := j.list()[0]; !c.committed || j.stamps[0] != 44 || l.inFlight != nil {
+		t.Fatalf("committed %v at revision %d", c.committed, j.stamps[0])
+	}
+	l.n.handle(Response{ID: sent.ID, Status: 409, Body: bookkeeping.Encode(protocol.TxnAnswer{Failed: []string{last.Set}})})
+	if len(j.copies) != 1 {
+		t.Error("the place is dropped by a late answer")
+	}
+}
+
+// TestStrayRoomRecord: the creation of a room record is carried out late, after
+// the record was deleted: the machines that it names must not come back with it.
+func TestStrayRoomRecord(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	r := m.rack
+	l.forget(m.id)
+	l.written(rackWrite{rack: r}, 50)
+	value := bookkeeping.Encode(bookkeeping.Rack{Writer: l.n.unique(), Machines: []bookkeeping.Room{m.room()}})
+	l.changed(&protocol.WatchEvent{Set: r.key, Value: value, Stamp: 60})
+	l.n.now = l.n.now.Add(tuning.StaleWait + time.Second)
+	l.n.claim.renewed, l.n.known = l.n.now, l.n.now
+	l.commitNext()
+	var txn protocol.Txn
+	if err := json.Unmarshal(l.n.lastRequest(t, ToState).Body, &txn); err != nil {
+		t.Fatal(err)
+	}
+	if len(txn.Then) != 1 || txn.Then[0].Delete != r.key || txn.If[1] != (protocol.Condition{Key: r.key, Stamp: 60}) {
+		t.Errorf("%+v", txn)
+	}
+}
+
+// TestAnswersToAnEarlierLife: a process that is back at once numbers its requests
+// apart from those of its earlier life, whose answers may still come.
+func TestAnswersToAnEarlierLife(t *testing.T) {
+	cfg := testLeader(time.Unix(1_800_000_000, 0)).n.cfg
+	seen := map[uint64]bool{}
+	for seed := range uint64(50) {
+		n := New(cfg, slog.New(slog.DiscardHandler), seed, "boot")
+		for range 1000 {
+			n.nextID++
+			if seen[n.nextID] {
+				t.Fatal("a number of an earlier life")
+			}
+			seen[n.nextID] = true
+		}
+	}
+}
+
+// TestAnnouncements: what a sibling knows counts for the link on which it said so:
+// a process that comes back as an older version says nothing, and a word that was
+// held back on an earlier link does not speak for it.
+func TestAnnouncements(t *testing.T) {
+	n := testLeader(time.Unix(1_800_000_000, 0)).n
+	n.peers["s"] = &peer{}
+	steps := []struct {
+		link uint64
+		m    protocol.PeerMessage
+		want bool
+	}{
+		{3, protocol.PeerHello{Node: "s"}, false},
+		{3, protocol.Announcement("n"), true},
+		{3, protocol.PeerStatus{}, true},
+		{4, protocol.PeerHello{Node: "s"}, false}, // back as an older version
+		{3, protocol.Announcement("n"), false},
+		{4, protocol.PeerStatus{}, false},
+		{4, protocol.Announcement("n"), true},
+	}
+	for i, s := range steps {
+		n.handle(PeerReceive{Peer: "s", Link: s.link, Message: s.m})
+		if got := n.allKnow(protocol.PeerLevel); got != s.want {
+			t.Errorf("step %d: %v", i, got)
+		}
+	}
+}
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -350,7 +350,7 @@
 		}
 		// What is booting, or has yet to report to a new leader, is not rented again.
 		booting := l.booting(m) || !m.reported && now.Sub(l.since) < l.silence()
-		if !booting && (!l.recent(m) || l.deaf(m) || !m.fresh && !m.recorded) {
+		if !booting && (!l.recent(m) || l.deaf(m) || l.mute(m) || !m.fresh && !m.recorded) {
 			continue
 		}
 		left := l.left(m)
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -489,6 +489,15 @@
 
 // changed takes a change of a record that the watch saw.
 func (l *leader) changed(ev *protocol.WatchEvent) {
+	if tx := l.inFlight; tx != nil && ev.Set != "" && ev.Set == tx.probe && bookkeeping.Writer(ev.Value) == tx.writer {
+		// The transaction under way is done, though its answer may be lost.
+		l.committed(tx, ev.Stamp)
+		return
+	}
+	if strings.HasPrefix(ev.Set, bookkeeping.MachinePrefix) {
+		l.strayRack(ev)
+		return
+	}
 	id, ok := strings.CutPrefix(ev.Set, bookkeeping.JobPrefix)
 	if !ok {
 		return
@@ -517,7 +526,22 @@
 // merge takes what a sibling may have written: a cancellation.
 func (l *leader) merge(j *job, rec *bookkeeping.Job, stamp uint64) {
 	j.stamps[0] = max(j.stamps[0], stamp)
-	if rec.Cancelled && !j.cancelled {
+	if rec.Cancelled {
+		l.cancelJob(j)
+	}
+}
+
+// cancelledElsewhere takes a sibling's word that a job's cancellation is in the
+// records. What is written of the job before the watch shows that is refused, and
+// read again.
+func (l *leader) cancelledElsewhere(id string) {
+	if j := l.jobs[id]; j != nil {
+		l.cancelJob(j)
+	}
+}
+
+func (l *leader) cancelJob(j *job) {
+	if !j.cancelled {
 		j.cancelled = true
 		l.plan = true
 		l.settle(j)
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -109,9 +109,11 @@
 // PeerDown says that the last link to a sibling is gone.
 type PeerDown struct{ Peer string }
 
-// PeerReceive is a message from a sibling.
+// PeerReceive is a message from a sibling. The links that a process accepts are
+// numbered as they come; a link begins with PeerHello.
 type PeerReceive struct {
 	Peer    string
+	Link    uint64
 	Message protocol.PeerMessage
 }
 
@@ -144,11 +146,15 @@
 	types   map[string]*protocol.MachineType
 	typesAt time.Time
 
-	mirror   bookkeeping.Mirror
-	loading  bool
-	watching bool
-	watchAt  time.Time // when the watch may be opened again
-	loadAt   time.Time
+	mirror    bookkeeping.Mirror
+	known     time.Time // every change made before then is in the mirror
+	ahead     sighting  // a revision that the mirror has yet to reach
+	loading   bool
+	loadSent  time.Time // when the first page was asked for
+	watching  bool
+	watchAt   time.Time // when the watch may be opened again
+	watchSent time.Time // when it was opened
+	loadAt    time.Time
 	// when the state service last served this node, and when it was last asked
 	served, asked time.Time
 	silent        bool // it did not answer the last request
@@ -204,6 +210,9 @@
 		n.sheds = rate.NewLimiter(rate.Every(pause/time.Duration(max(1, len(cfg.Siblings)))), tuning.MovesAtOnce)
 	}
 	n.setShares()
+	// Answers name the request by its number and may come late, after the process
+	// has ended and begun again: numbers of different lives must not meet.
+	n.nextID = n.rng.Uint64() >> 24
 	return n
 }
 
@@ -315,7 +324,7 @@
 	case PeerDown:
 		n.peerDown(e.Peer)
 	case PeerReceive:
-		n.peerReceive(e.Peer, e.Message)
+		n.peerReceive(e.Peer, e.Link, e.Message)
 	}
 }
 
@@ -423,16 +432,68 @@
 		if !n.loading && !n.now.Before(n.loadAt) {
 			n.loading = true
 			n.mirror.BeginLoad()
+			n.loadSent = n.now
 			n.loadPage("")
 		}
 		return
 	}
+	n.watchAgain()
 	if n.watching || n.now.Before(n.watchAt) {
 		return
 	}
 	n.watching = true
+	n.watchSent = n.now
 	path := protocol.WatchPath(bookkeeping.LivePrefix, n.mirror.Revision, tuning.WatchBlock.Milliseconds())
-	n.request(ToState, "", "GET", path, nil, tuning.WatchBlock+tuning.WatchOverrun, n.watched)
+	sent := n.now
+	n.request(ToState, "", "GET", path, nil, tuning.WatchBlock+tuning.WatchOverrun, func(status int, body []byte) {
+		n.watched(sent, status, body)
+	})
+}
+
+// sighting is a revision that the state service had when a request sent at that
+// time was carried out, or later.
+type sighting struct {
+	revision uint64
+	sent     time.Time
+}
+
+// sighted takes the revision that the answer to a request gave: once the mirror
+// has come as far, it holds every change made before the request was sent.
+func (n *Node) sighted(s sighting) {
+	switch {
+	case s.revision <= n.mirror.Revision:
+		n.knows(s.sent)
+	case n.ahead.revision <= n.mirror.Revision:
+		n.ahead = s // one at a time, or a steady stream of changes would never be caught up with
+	}
+}
+
+func (n *Node) knows(at time.Time) {
+	if at.After(n.known) {
+		n.known = at
+	}
+}
+
+// lookAhead asks how far the records have come. Renewing the claim proves only
+// the claim: the watch may hang, and somebody may have confirmed cancellations.
+func (n *Node) lookAhead() {
+	sent := n.now
+	txn := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.ClaimKey, Stamp: n.claim.term}}}
+	n.stateOn(ToClaim, "POST", protocol.PathTxn, txn, func(status int, body []byte) {
+		if a, ok := parse[protocol.TxnAnswer](body); ok && (status == 200 || status == 409) && a.Revision != 0 {
+			n.sighted(sighting{a.Revision, sent})
+		}
+	})
+}
+
+// watchAgain opens another watch when the one that is open does not show what
+// the state service is known to have; its answer is taken all the same.
+func (n *Node) watchAgain() {
+	if n.ahead.revision > n.mirror.Revision && n.watching &&
+		n.now.Sub(n.ahead.sent) >= tuning.WatchStuck && n.now.Sub(n.watchSent) >= tuning.WatchStuck {
+		n.log.Info("watch does not keep up", "revision", n.mirror.Revision, "ahead", n.ahead.revision)
+		n.watching, n.watchAt = false, n.now
+	}
 }
 
 func (n *Node) loadPage(after string) {
@@ -447,13 +508,16 @@
 			return
 		}
 		n.loading = false
+		n.knows(n.loadSent)
 		n.log.Info("mirror loaded", "keys", n.mirror.Len(), "revision", n.mirror.Revision)
 		n.mirrorLoaded()
 	})
 }
 
-func (n *Node) watched(status int, body []byte) {
-	n.watching = false
+func (n *Node) watched(sent time.Time, status int, body []byte) {
+	if sent.Equal(n.watchSent) {
+		n.watching = false
+	}
 	var w protocol.WatchAnswer
 	switch {
 	case status == 410:
@@ -476,6 +540,10 @@
 		}
 	}
 	n.mirror.Revision = max(n.mirror.Revision, w.Revision)
+	n.knows(sent)
+	if n.ahead.revision <= n.mirror.Revision {
+		n.knows(n.ahead.sent)
+	}
 	pause := tuning.WatchPause // the leader's: jobs wait for it
 	if n.lead == nil {
 		pause = n.requestPause(pause, tuning.WatchShare)
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -74,7 +74,7 @@
 
 // open says whether a machine takes new tasks at all.
 func (l *leader) open(m *machine) bool {
-	return m.recorded && !l.deaf(m) && !m.closed && !m.deleting && l.alive(m) && l.kind(m) != nil
+	return m.recorded && !l.deaf(m) && !l.mute(m) && !m.closed && !m.deleting && l.alive(m) && l.kind(m) != nil
 }
 
 // allows says whether the job may use machines of this type, zone and kind.
@@ -106,11 +106,12 @@
 	}
 	most := len(j.tasks)
 	if j.spec.Spread {
-		most = (len(j.tasks) + 1) / 2
+		// A copy on a machine of no known zone may be in any.
+		most = max(0, (len(j.tasks)+1)/2-limit[""])
 	}
-	if j.spec.OneZone && len(limit) > 1 {
-		// Old copies that may still be there disagree: none may join them
-		// until all but one zone's are proven gone.
+	if j.spec.OneZone && (len(limit) > 1 || limit[""] > 0) {
+		// Old copies that may still be there disagree, or nobody knows where they
+		// are: none may join them until all but one zone's are proven gone.
 		most = 0
 	}
 	for _, z := range l.n.cfg.Cluster.Zones {
--- a/internal/coordination/placement_test.go
+++ b/internal/coordination/placement_test.go
@@ -147,7 +147,7 @@
 	n := New(cfg, slog.New(slog.DiscardHandler), 1, "boot")
 	n.now = now
 	n.types["big"], n.types["small"] = &bigType, &smallType
-	n.claim.term, n.claim.renewed = 7, now
+	n.claim.term, n.claim.renewed, n.known = 7, now, now
 	n.takeOver()
 	return n.lead
 }
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -16,6 +16,8 @@
 	up     bool
 	heard  time.Time
 	status protocol.PeerStatus
+	link   uint64 // the newest link from it
+	level  uint64 // what it has announced on that link that it knows
 }
 
 // carried is a request that was sent on to a sibling.
@@ -198,22 +200,56 @@
 			p.heard = n.now // one reset at a time
 			n.out = append(n.out, PeerReset{Peer: s.Name})
 		} else if p.up {
-			n.out = append(n.out, PeerSend{Peer: s.Name, Message: status})
+			n.out = append(n.out, PeerSend{Peer: s.Name, Message: protocol.Announcement(s.Name)}, PeerSend{Peer: s.Name, Message: status})
 		}
 	}
 }
 
-func (n *Node) peerReceive(from string, m protocol.PeerMessage) {
+func (n *Node) peerReceive(from string, link uint64, m protocol.PeerMessage) {
 	p := n.peers[from]
 	if p == nil {
 		return
 	}
 	p.heard = n.now
-	if m, ok := m.(protocol.PeerStatus); ok {
+	if link > p.link {
+		p.link, p.level = link, 0 // another process perhaps, and an older version
+	}
+	if level, ok := protocol.Announced(m); ok {
+		if link == p.link {
+			p.level = level // one held back on an earlier link says nothing of this one
+		}
+		return
+	}
+	switch m := m.(type) {
+	case protocol.PeerHello:
+	case protocol.PeerStatus:
 		p.status = m
+	default:
+		n.deliver(m)
+	}
+}
+
+// allKnow says whether every controller has announced a level on its newest link.
+func (n *Node) allKnow(level uint64) bool {
+	for _, p := range n.peers {
+		if p.level < level {
+			return false
+		}
+	}
+	return true
+}
+
+// tellCancelled tells the leader of a cancellation that is in the records, so that
+// it need not wait for its watch, or for the state service to serve it again.
+func (n *Node) tellCancelled(job string) {
+	if n.lead != nil {
+		n.lead.cancelledElsewhere(job)
 		return
 	}
-	n.deliver(m)
+	to := n.claim.holder
+	if p := n.peers[to]; p != nil && p.level >= protocol.PeerKnowsCancelled && n.reach(to) {
+		n.out = append(n.out, PeerSend{Peer: to, Message: protocol.PeerCancelled{Job: job}})
+	}
 }
 
 // deliver takes a message that came over a link or by mail.
@@ -231,6 +267,10 @@
 		n.takeRequest(m)
 	case protocol.PeerCall:
 		n.callFor(m)
+	case protocol.PeerCancelled:
+		if n.lead != nil {
+			n.lead.cancelledElsewhere(m.Job)
+		}
 	case protocol.PeerAnswer:
 		if m.Target != n.cfg.Name {
 			m.Hops++
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
 )
 
 // rack is the room record that several machines of a zone share: a mass rental
@@ -78,6 +79,7 @@
 		m := l.machine(room.ID, room.Address, room.Type, room.Zone, room.Spot)
 		if m.rack != nil {
 			r.stale = l.n.now // recorded twice: the first will do
+			m.closed = m.closed || room.Closed
 			continue
 		}
 		r.zone = room.Zone
@@ -87,6 +89,20 @@
 	l.racks = append(l.racks, r)
 }
 
+// strayRack has a room record deleted that this leader does not have: its creation
+// was carried out late, when the record had served its time.
+func (l *leader) strayRack(ev *protocol.WatchEvent) {
+	if l.ownRack(ev.Set) || l.inFlight != nil && bookkeeping.Writer(ev.Value) == l.inFlight.writer {
+		return
+	}
+	l.n.log.Info("room record of nobody", "key", ev.Set)
+	l.racks = append(l.racks, &rack{key: ev.Set, stamp: ev.Stamp, stale: l.n.now})
+}
+
+func (l *leader) ownRack(key string) bool {
+	return slices.ContainsFunc(l.racks, func(r *rack) bool { return r.key == key })
+}
+
 // addRacks adds the racks that are to be written to a transaction.
 func (b *batch) addRacks(wanted func(r *rack) bool) {
 	for _, r := range b.l.racks {
@@ -128,8 +144,9 @@
 // written takes a rack's new revision.
 func (l *leader) written(w rackWrite, revision uint64) {
 	if len(w.members) == 0 {
-		// The key is gone; machines that came meanwhile write it anew.
-		w.rack.stamp = 0
+		// The key is gone. Machines that came meanwhile are written under another:
+		// a late creation of the old one must find no guard that it meets.
+		w.rack.key, w.rack.stamp = bookkeeping.RackKey(l.n.unique()), 0
 		if len(w.rack.members) == 0 {
 			l.racks = slices.DeleteFunc(l.racks, func(r *rack) bool { return r == w.rack })
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/gappond/gappond/internal/bookkeeping"
@@ -34,12 +35,22 @@
 		if t.MaxGPUs > 0 && j.GPUs*count > t.MaxGPUs+amountSlack || t.MaxCPUs > 0 && j.CPUs*count > t.MaxCPUs+amountSlack {
 			return "more than the team's limit"
 		}
+		zones := map[string]bool{}
 		for _, m := range n.types {
 			if m.Fits(j) {
-				return ""
+				for _, z := range m.Zones {
+					zones[z] = zones[z] || j.Zone == "" || j.Zone == z
+				}
 			}
 		}
-		return "fits no allowed machine type"
+		maps.DeleteFunc(zones, func(_ string, allowed bool) bool { return !allowed })
+		switch {
+		case len(zones) == 0:
+			return "fits no allowed machine type"
+		case j.Gang() && j.Spread && j.Tasks > 1 && (j.OneZone || len(zones) < 2):
+			return "its tasks may neither be in one zone nor in several"
+		}
+		return ""
 	}
 	return "unknown team"
 }
@@ -380,6 +391,7 @@
 		return
 	}
 	if rec.Cancelled {
+		n.tellCancelled(job) // by a transaction whose answer was lost, perhaps
 		n.reply(id, 200, protocol.Accepted{ID: job, Phase: protocol.PhaseCancelled})
 		return
 	}
@@ -394,6 +406,7 @@
 	n.state("POST", protocol.PathTxn, txn, func(status int, _ []byte) {
 		switch {
 		case status == 200:
+			n.tellCancelled(job)
 			n.reply(id, 200, protocol.Accepted{ID: job, Phase: protocol.PhaseCancelled})
 		case (status == 409 || status == 0) && n.now.Before(deadline):
 			n.cancelFresh(id, job, deadline)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -655,6 +655,16 @@
 // it takes no work; if it does not answer a call either, it is returned.
 func (l *leader) deaf(m *machine) bool { return m.missed >= tuning.MissedAnswers }
 
+// mute says whether a worker answers calls while no report of it comes, so that
+// its lease is about to run out, or does so again and again: it takes no work.
+func (l *leader) mute(m *machine) bool {
+	from := l.since
+	if m.answered.After(from) {
+		from = m.answered
+	}
+	return l.n.now.Sub(from) > seconds(l.n.cfg.Cluster.Workers.LeaseS/2)
+}
+
 // silence is how long a worker may be silent before it is probed.
 func (l *leader) silence() time.Duration {
 	return max(seconds(l.n.cfg.Cluster.Workers.ReportS*tuning.SilentReports), tuning.SilentLeast)
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -66,6 +66,37 @@
 	Body   []byte
 }
 
+// PeerCancelled tells the leader of a job whose cancellation is in the records. It
+// goes only to a node that has announced PeerKnowsCancelled.
+type PeerCancelled struct{ Job string }
+
+// Levels of what a node knows. A node announces its own in a form that the first
+// version, which knows none, takes for an answer to nothing and drops.
+const (
+	// PeerKnowsCancelled: PeerCancelled, and job records of more parts than their
+	// chunk says.
+	PeerKnowsCancelled = 1
+	// PeerLevel is this version's.
+	PeerLevel = PeerKnowsCancelled
+)
+
+// announcementID is no request's: those count from a 40-bit number.
+const announcementID = math.MaxUint64
+
+// Announcement says to a sibling what this node knows.
+func Announcement(target string) PeerMessage {
+	return PeerAnswer{ID: announcementID, Target: target, Status: PeerLevel}
+}
+
+// Announced is the level that a message announces, if it does.
+func Announced(m PeerMessage) (level uint64, ok bool) {
+	a, ok := m.(PeerAnswer)
+	if !ok || a.ID != announcementID {
+		return 0, false
+	}
+	return a.Status, true
+}
+
 // PeerCall has a node send orders to a worker for the leader.
 type PeerCall struct {
 	ID      uint64
@@ -74,12 +105,13 @@
 	Body    []byte
 }
 
-func (PeerHello) kind() byte   { return 1 }
-func (PeerStatus) kind() byte  { return 2 }
-func (PeerReport) kind() byte  { return 3 }
-func (PeerAnswer) kind() byte  { return 4 }
-func (PeerRequest) kind() byte { return 5 }
-func (PeerCall) kind() byte    { return 6 }
+func (PeerHello) kind() byte     { return 1 }
+func (PeerStatus) kind() byte    { return 2 }
+func (PeerReport) kind() byte    { return 3 }
+func (PeerAnswer) kind() byte    { return 4 }
+func (PeerRequest) kind() byte   { return 5 }
+func (PeerCall) kind() byte      { return 6 }
+func (PeerCancelled) kind() byte { return 7 }
 
 type encoder struct{ b []byte }
 
@@ -182,6 +214,8 @@
 		e.str(m.Origin)
 		e.str(m.Address)
 		e.str(string(m.Body))
+	case PeerCancelled:
+		e.str(m.Job)
 	}
 	binary.BigEndian.PutUint32(e.b[start+4:], uint32(len(e.b)-start-peerHeader))
 	return e.b
@@ -270,6 +304,8 @@
 		m = PeerRequest{ID: d.num(), Origin: d.str(), Target: d.str(), Verb: d.str(), Job: d.str(), Body: []byte(d.str())}
 	case PeerCall{}.kind():
 		m = PeerCall{ID: d.num(), Origin: d.str(), Address: d.str(), Body: []byte(d.str())}
+	case PeerCancelled{}.kind():
+		m = PeerCancelled{Job: d.str()}
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -174,6 +174,8 @@
 		PeerHello{Node: "a"},
 		PeerStatus{Term: 9, Leader: "b", StateOK: true, Links: []string{"a", "c"}, Keeps: 250},
 		PeerCall{ID: 4, Origin: "a", Address: "h:1", Body: []byte("{}")},
+		PeerCancelled{Job: "run-000412"},
+		Announcement("berth-1"),
 		PeerReport{ID: 1, Origin: "a", Target: "b", Hops: 1, Report: &Report{Machine: "i-1", Address: "h:1", Type: "t", Zone: "z", Spot: true,
 			Session: 2, Seq: 3, Token: 4, NoticeS: &n, Tasks: []TaskReport{{Task: "run-1/0", Attempt: 1, State: TaskExited, Cause: CauseDone, Saved: true}}}},
 		PeerAnswer{ID: 1, Target: "a", Status: 200, Body: []byte(`{}`)},
--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -17,6 +17,7 @@
 	use      map[string]float64     // GPUs by team
 	failures []string
 	started  int
+	late     int // starts after a confirmed cancellation
 }
 
 // simJob is a job as the outside world knows it.
@@ -29,6 +30,7 @@
 	mistaken  bool
 	cancelled time.Time // when its user was told
 	began     time.Time // when it first ran, a gang as a whole
+	last      func()    // what happens when the last task has completed
 }
 
 func newRules(w *World) *rules {
@@ -44,6 +46,9 @@
 func (r *rules) starts(t *workerTask) {
 	r.started++
 	s := t.job
+	if !r.jobs[s.ID].cancelled.IsZero() {
+		r.late++
+	}
 	if o := r.onAt[t.name]; o != nil {
 		r.broken("ran_twice", "%s starts on %s while on %s", t.name, t.k.h.ID, o.k.h.ID)
 	}
@@ -108,6 +113,11 @@
 	j := &simJob{spec: spec, run: run, progress: make([]float64, spec.Tasks), done: make([]bool, spec.Tasks), gangs: map[uint64]*gang{}, mistaken: mistaken}
 	u := &user{w: w, j: j, cancelAt: cancel}
 	w.users = append(w.users, u)
+	j.last = func() {
+		if w.rng.Float64() < w.atEnd {
+			u.cancel()
+		}
+	}
 	w.after(after, func() {
 		w.rules.jobs[spec.ID] = j
 		u.since = w.Now
@@ -166,7 +176,11 @@
 			}
 		}
 	}
+	news := a.Phase != u.phase
 	u.phase = a.Phase
+	if news && u.w.close {
+		u.look()
+	}
 	if final(a.Phase) {
 		u.over = true
 		if a.Phase == protocol.PhaseCancelled && u.j.cancelled.IsZero() {
@@ -201,6 +215,37 @@
 	})
 }
 
+// look asks all nodes again within milliseconds and repeats the submission: no
+// answer may be older than the newest that any node had given before the question.
+func (u *user) look() {
+	w := u.w
+	for i := range 3 * len(w.nodes) {
+		c := w.nodes[i%len(w.nodes)]
+		w.after(w.between(0, 8*time.Millisecond), func() {
+			told := u.phase
+			event := func(id uint64) coordination.Event { return coordination.Query{ID: id, Job: u.j.spec.ID} }
+			if i >= 2*len(w.nodes) {
+				event = func(id uint64) coordination.Event { return coordination.Submit{ID: id, Job: u.j.spec} }
+			}
+			w.call("users", c.name, 2*time.Second, func(answer func(int, []byte)) { c.ask(event, answer) }, func(status int, body []byte) {
+				switch status {
+				case 200, 201:
+					var a protocol.Accepted
+					decode(body, &a)
+					if (told == protocol.PhaseDone || told == protocol.PhaseCancelled) && a.Phase != told {
+						w.rules.broken("went_back", "%s was %s and is %s at %s", a.ID, told, a.Phase, c.name)
+					}
+					if status == 201 {
+						w.rules.broken("forgotten", "%s is accepted anew by %s", a.ID, c.name)
+					}
+				case 400, 404, 422:
+					w.rules.broken("forgotten", "%s is answered %d by %s", u.j.spec.ID, status, c.name)
+				}
+			})
+		})
+	}
+}
+
 // unanswered checks that no job goes without an answer for long once all
 // troubles are over, however other jobs fare.
 func (u *user) unanswered() {
--- a/internal/simulation/services.go
+++ b/internal/simulation/services.go
@@ -43,6 +43,9 @@
 	watches  []*watch
 	down     bool
 	slow     time.Duration // an answer takes so much longer
+	lost     float64       // of transactions: this share gets no answer
+	atOnce   bool          // and is carried out at once, not 2 to 12 s later
+	blind    *controller   // no watch of this node is answered
 	calls    *rate.Limiter
 	writes   *rate.Limiter
 	// what was asked of it
@@ -60,6 +63,7 @@
 }
 
 type watch struct {
+	from   *controller
 	prefix string
 	after  uint64
 	answer func(int, []byte)
@@ -88,9 +92,25 @@
 		for _, l := range s.leases {
 			l.expires = s.w.Now.Add(l.ttl)
 		}
+		s.notify()
+	})
+}
+
+// refuse makes the service refuse one node alone; its watches wait.
+func (s *stateService) refuse(c *controller, d time.Duration) {
+	c.refused = true
+	s.w.after(d, func() {
+		c.refused = false
+		s.notify()
 	})
 }
 
+// lose leaves a share of the transactions without an answer for a while.
+func (s *stateService) lose(share float64, atOnce bool, d time.Duration) {
+	s.lost, s.atOnce = share, atOnce
+	s.w.after(d, func() { s.lost = 0 })
+}
+
 func (s *stateService) expire() {
 	if s.down {
 		return
@@ -140,19 +160,19 @@
 	}
 	u, _ := url.Parse(path)
 	q := u.Query()
+	if s.down || from.refused {
+		answer(503, encode(protocol.ErrorBody{Error: "trouble"}))
+		return
+	}
 	if u.Path == "/watch" {
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("block_ms"))
-		x := &watch{prefix: q.Get("starts"), after: after, answer: answer}
+		x := &watch{from: from, prefix: q.Get("starts"), after: after, answer: answer}
 		s.watches = append(s.watches, x)
-		s.w.after(time.Duration(wait)*time.Millisecond, func() { s.end(x, nil) })
+		s.w.after(time.Duration(wait)*time.Millisecond, func() { s.show(x, true) })
 		s.notify()
 		return
 	}
-	if s.down || from.refused {
-		answer(503, encode(protocol.ErrorBody{Error: "trouble"}))
-		return
-	}
 	switch {
 	case method == "GET" && u.Path == "/kv":
 		var keys []string
@@ -174,6 +194,13 @@
 		} else {
 			answer(404, encode(protocol.TxnAnswer{Revision: s.revision}))
 		}
+	case u.Path == protocol.PathTxn && s.lost > 0 && s.w.rng.Float64() < s.lost:
+		nobody := func(int, []byte) {}
+		if s.atOnce {
+			s.txn(body, nobody)
+			return
+		}
+		s.w.after(s.w.between(2*time.Second, 12*time.Second), func() { s.txn(body, nobody) })
 	case u.Path == protocol.PathTxn:
 		s.txn(body, answer)
 	case u.Path == protocol.PathLeases:
@@ -245,21 +272,30 @@
 
 func (s *stateService) notify() {
 	for _, x := range slices.Clone(s.watches) {
-		var events []protocol.WatchEvent
-		from, _ := slices.BinarySearchFunc(s.changes, x.after+1, func(c change, after uint64) int { return cmp.Compare(c.event.Stamp, after) })
-		for _, c := range s.changes[from:] {
-			if strings.HasPrefix(c.key, x.prefix) {
-				events = append(events, c.event)
-			}
-		}
-		if len(events) > 0 {
-			s.end(x, events)
-		}
+		s.show(x, false)
 	}
 }
 
-func (s *stateService) end(x *watch, events []protocol.WatchEvent) {
-	if x.ended {
+// show answers a watch that has something to show, or whose time is over. While
+// the service does not serve its node, a watch waits.
+func (s *stateService) show(x *watch, over bool) {
+	if x.ended || x.from == s.blind {
+		return
+	}
+	if s.down || x.from.refused {
+		if over {
+			s.w.after(50*time.Millisecond, func() { s.show(x, true) })
+		}
+		return
+	}
+	var events []protocol.WatchEvent
+	from, _ := slices.BinarySearchFunc(s.changes, x.after+1, func(c change, after uint64) int { return cmp.Compare(c.event.Stamp, after) })
+	for _, c := range s.changes[from:] {
+		if strings.HasPrefix(c.key, x.prefix) {
+			events = append(events, c.event)
+		}
+	}
+	if len(events) == 0 && !over {
 		return
 	}
 	x.ended = true
@@ -278,6 +314,7 @@
 	calls    *rate.Limiter
 	requests int
 	history  []snapshot
+	quick    bool // machines are up within two seconds
 }
 
 type host struct {
@@ -393,6 +430,9 @@
 			if c.w.rng.IntN(20) == 0 {
 				boot = time.Hour // never comes up
 			}
+			if c.quick {
+				boot = c.w.between(100*time.Millisecond, 2*time.Second)
+			}
 			names = append(names, c.add(r.Zone, r.Spot, boot))
 		}
 		c.rented[r.Request] = names
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -14,8 +14,8 @@
 
 // load makes users with jobs of every shape.
 func (w *World) load(jobs int, span time.Duration) {
-	for i := range jobs {
-		s := &protocol.Job{ID: fmt.Sprintf("run-%06d", 100+i*7), Class: "array", Team: w.shape.Teams[w.rng.IntN(len(w.shape.Teams))].Name,
+	for range jobs {
+		s := &protocol.Job{ID: fmt.Sprintf("run-%06d", 100+len(w.users)*7), Class: "array", Team: w.shape.Teams[w.rng.IntN(len(w.shape.Teams))].Name,
 			Shape: protocol.ShapeArray, Priority: []string{"idle", "normal", "high"}[w.rng.IntN(3)], Tasks: 1 + w.rng.IntN(6),
 			CPUs: 4, GPUs: 1, MemoryGB: 20, Image: fmt.Sprintf("img-%d", w.rng.IntN(3)), ImageGB: 2 + 4*w.rng.Float64(),
 			Spot: w.rng.IntN(2) == 0, EstimateS: 20, CheckpointS: float64(w.rng.IntN(2)) * 10, SaveS: 2}
@@ -74,8 +74,7 @@
 		},
 		func() string { w.state.outage(span); return "state outage" },
 		func() string {
-			node.refused = true
-			w.after(span, func() { node.refused = false })
+			w.state.refuse(node, span)
 			return "state refuses " + node.name
 		},
 		func() string {
@@ -144,6 +143,7 @@
 			return "spot notice"
 		},
 	}
+	kinds = append(kinds, w.meetingTroubles(node, someone, span)...)
 	return kinds[w.rng.IntN(len(kinds))]()
 }
 
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -30,6 +30,7 @@
 	stuck    []func() // what arrives while the machine hangs
 	notice   *float64
 	sick     bool
+	mute     bool // opens no connection
 	tokenAt  time.Time
 }
 
@@ -141,10 +142,16 @@
 	sent, session := w.Now, k.session
 	c := w.nodes[k.node]
 	body := encode(k.report())
+	if w.keep {
+		w.kept = append(w.kept, body)
+	}
 	if w.copies > 0 && w.rng.IntN(4) == 0 {
 		w.after(w.between(time.Second, w.copies), func() { w.copyReport(w.nodes[w.rng.IntN(len(w.nodes))], body) })
 	}
 	w.call(k.h.ID, c.name, 4*time.Second, func(answer func(int, []byte)) {
+		if k.mute {
+			return
+		}
 		r, err := protocol.ParseReport(body)
 		if err != nil {
 			panic(err)
@@ -471,6 +478,9 @@
 	t.leave()
 	t.state, t.cause, t.kept = protocol.TaskExited, cause, kept
 	t.k.changed = true
+	if j := t.k.w.rules.jobs[t.job.ID]; cause == protocol.CauseDone && j.last != nil && !slices.Contains(j.done, false) {
+		j.last()
+	}
 }
 
 // leave takes a task off its machine.
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -104,6 +104,10 @@
 	most    int           // of them under way at once
 	calm    time.Time     // when all troubles were over
 	copies  time.Duration // for so long copies of reports may be late, 0: there are none
+	keep    bool          // copies of reports are kept for the next leader
+	kept    [][]byte
+	close   bool    // users look closely: they ask every node after every answer
+	atEnd   float64 // this share of the jobs is called off at the moment of their end
 }
 
 // New makes a small world of three controllers.
@@ -377,7 +381,7 @@
 					m := recode(a.Message)
 					c.w.carry(c.name, o.name, func() {
 						if o.alive && o.life == to {
-							o.step(coordination.PeerReceive{Peer: c.name, Message: m})
+							o.step(coordination.PeerReceive{Peer: c.name, Link: uint64(life), Message: m})
 						}
 					})
 				}
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gappond/gappond/internal/config"
@@ -23,6 +24,7 @@
 	events chan<- coordination.Event
 	links  map[string]*link
 	gather time.Duration // for which workers' reports wait for others on their way to the leader
+	taken  atomic.Uint64 // links accepted so far
 }
 
 type link struct {
@@ -174,7 +176,7 @@
 func (p *peers) read(conn net.Conn) {
 	defer conn.Close()
 	r := bufio.NewReaderSize(conn, tuning.PeerBatch)
-	name := ""
+	name, number := "", p.taken.Add(1)
 	for {
 		conn.SetReadDeadline(time.Now().Add(tuning.PeerRead))
 		m, err := protocol.ReadPeer(r)
@@ -186,11 +188,12 @@
 		switch {
 		case first && name == "" && p.links[hello.Node] != nil:
 			name = hello.Node
+			p.events <- coordination.PeerReceive{Peer: name, Link: number, Message: m}
 		case first || name == "":
 			p.log.Error("peer link refused", "peer", hello.Node, "remote", conn.RemoteAddr().String())
 			return
 		default:
-			p.events <- coordination.PeerReceive{Peer: name, Message: m}
+			p.events <- coordination.PeerReceive{Peer: name, Link: number, Message: m}
 		}
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -29,6 +29,16 @@
 	AuthorityMargin = 6 * time.Second
 	// MaxGrace bounds the grace whatever the settings say.
 	MaxGrace = 20 * time.Second
+	// CancelMargin is kept free between a leader's authority + worker lease and the
+	// time a cancellation may take: whoever tells the user may have read another
+	// clock, and the worker's last answer was on its way.
+	CancelMargin = 3 * time.Second
+	// KnownFor is how old a leader's knowledge of the records may be before it asks
+	// the state service how far they have come: with every renewal at most.
+	KnownFor = ClaimRenew
+	// WatchStuck is how long a watch may fail to show a change that the state
+	// service is known to have made before another watch is opened beside it.
+	WatchStuck = 2 * time.Second
 	// ClockDrift is the largest disagreement of two steady clocks, as a share
 	// (0.05% each way, doubled).
 	ClockDrift = 0.001
