--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -85,7 +85,7 @@
 
 // Announcement says to a sibling what this node knows.
 func Announcement(target string) PeerMessage {
-	return PeerAnswer{ID: announcementID, Target: target, Status: PeerLevel}
+	return PeerAnswer{ID: announcementID, Target: target, Status: PeerLevel, Body: []byte{}}
 }
 
 // Announced is the level that a message announces, if it does.
