Lowered limits of the state service: the smaller of each, records split as they are written

The limits of state.next hold from the start for all that is new: chunks, room records, mail, writes. A job's record that has outgrown them is split like a node of a B-tree, with the job's own record in one guarded transaction, once every controller has announced on its newest link that it finds further records, or when the state service refuses a size. Until then the present limits hold for it, since the first version would drop what it does not find. Room records are split at a takeover: the machines are written into other records first, then the old one.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -187,9 +187,16 @@
 	Done      int           `json:"done,omitempty"`
 	Placed    int           `json:"placed,omitempty"`
 	Chunk     int           `json:"chunk"` // tasks per record
-	Tasks     Tasks         `json:"tasks,omitempty"`
+	// Parts is the number of records if there are more than the chunk says: one that
+	// had outgrown the limits was split, and what it gave away is in the last ones.
+	// The first version would not find those.
+	Parts int   `json:"parts,omitempty"`
+	Tasks Tasks `json:"tasks,omitempty"`
 }
 
+// Regular is the number of records that the chunk says.
+func (j *Job) Regular() int { return (j.Spec.Tasks + j.Chunk - 1) / j.Chunk }
+
 // Writer is the writer's name that a record begins with, found without decoding
 // the rest; "" if it begins otherwise.
 func Writer(value json.RawMessage) string {
@@ -245,9 +252,25 @@
 	Done   int    `json:"done"`
 }
 
-// ChunkSize is the number of tasks per record that the value limit allows.
-func ChunkSize(valueKB float64) int {
-	return max(1, (int(valueKB*1024)-tuning.SpecBytes)/tuning.TaskBytes)
+// ChunkSize is the number of a job's tasks per record that the limits allow. The
+// places of a gang are all written, and each is guarded on its machine's room.
+func ChunkSize(valueKB float64, txnOps int, spec *protocol.Job) int {
+	n := (int(valueKB*1024) - len(Encode(spec)) - tuning.HeaderBytes) / tuning.TaskBytes
+	n = min(n, tuning.TasksPerRecord)
+	if spec.Gang() {
+		n = min(n, GangChunk(txnOps))
+	}
+	return max(1, n)
+}
+
+// GangChunk is how many tasks of a gang a record may have: with every one on
+// another machine, in another rack, the transaction that places them keeps within
+// its conditions, four for every change, the claim and two records among them.
+func GangChunk(txnOps int) int { return 4*txnOps - 4 }
+
+// Storable says whether a job's description leaves room for a task.
+func Storable(valueKB float64, spec *protocol.Job) bool {
+	return len(Encode(spec))+tuning.HeaderBytes+tuning.TaskBytes <= int(valueKB*1024)
 }
 
 // Status is what a user is told of an unfinished job. A record counts as
@@ -269,7 +292,7 @@
 	if err := json.Unmarshal(value, &j); err != nil {
 		return nil, err
 	}
-	if j.Spec == nil || !protocol.ValidID(j.Spec.ID) || j.Spec.Tasks < 1 || j.Spec.Tasks > protocol.MaxTasks || j.Chunk < 1 {
+	if j.Parts < 0 || j.Parts > protocol.MaxTasks || j.Spec == nil || !protocol.ValidID(j.Spec.ID) || j.Spec.Tasks < 1 || j.Spec.Tasks > protocol.MaxTasks || j.Chunk < 1 {
 		return nil, fmt.Errorf("job record without a sound description")
 	}
 	return &j, nil
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -115,3 +115,31 @@
 		}
 	}
 }
+
+// TestNextLimits: of the limits that the state service has and those that it will
+// have, the smaller of each count; a part of them, larger ones or none at all are
+// valid, and what cannot be one is refused with its name.
+func TestNextLimits(t *testing.T) {
+	for next, want := range map[string]State{
+		"": {RPS: 250, WriteRPS: 30, ValueKB: 8, TxnOps: 24},
+		"[cluster.state.next]\nwrite_rps = 21.0\nvalue_kb = 2.0\ntxn_ops = 8": {RPS: 250, WriteRPS: 21, ValueKB: 2, TxnOps: 8},
+		"[cluster.state.next]\nvalue_kb = 64.0\nrps = 100.0\nnew = true":      {RPS: 100, WriteRPS: 30, ValueKB: 8, TxnOps: 24},
+	} {
+		c, err := Parse([]byte(good + next))
+		if err != nil {
+			t.Fatalf("%q: %v", next, err)
+		}
+		if got := c.Cluster.State.Tightest(); got != want {
+			t.Errorf("%q: %+v", next, got)
+		}
+		if got := c.Cluster.StateNow(); got.ValueKB != 8 || got.TxnOps != 24 || got.WriteRPS != 30 {
+			t.Errorf("%q: %+v now", next, got)
+		}
+	}
+	for _, bad := range []string{"value_kb = 0.0", "value_kb = -1.0", "txn_ops = 0", "txn_ops = -3", "write_rps = 0.0", "rps = -5.0", "value_kb = nan"} {
+		name, _, _ := strings.Cut(bad, " ")
+		if _, err := Parse([]byte(good + "[cluster.state.next]\n" + bad)); err == nil || !strings.Contains(err.Error(), "cluster.state.next."+name) {
+			t.Errorf("%s: %v", bad, err)
+		}
+	}
+}
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -46,7 +46,7 @@
 func (b *batch) room() int { return b.most - len(b.txn.Then) }
 
 func (b *batch) fits(ops, conditions, bytes int) bool {
-	return b.room() >= ops && len(b.txn.If)+conditions <= 4*b.l.n.cfg.Cluster.State.TxnOps && b.bytes+bytes <= tuning.TxnBytes
+	return b.room() >= ops && len(b.txn.If)+conditions <= 4*b.l.limits().TxnOps && b.bytes+bytes <= tuning.TxnBytes
 }
 
 func (b *batch) guard(key string, stamp uint64) {
@@ -187,57 +187,142 @@
 		return
 	}
 	w := &jobWrite{j: j}
-	var records []int
-	for r := range j.dirty {
-		records = append(records, r)
+	if parts := b.l.partsToWrite(j); parts != nil {
+		b.addParts(w, parts)
+	} else {
+		b.addRecords(w)
 	}
-	slices.Sort(records)
-	// The first record carries the counts: it is always written, and last.
-	if records[0] == 0 {
-		records = records[1:]
+	if len(w.records) > 0 {
+		if w.records[len(w.records)-1] != 0 {
+			j.dirty[0] = true
+		}
+		j.writing = true
+		b.tx.jobs = append(b.tx.jobs, w)
 	}
-	for _, r := range append(records, 0) {
-		tasks, copies := j.record(r)
-		var value json.RawMessage
-		if r == 0 {
-			if len(w.records) < len(records) {
-				break // further records first
-			}
-			value = bookkeeping.Encode(j.header(b.tx.writer, tasks))
-		} else {
-			value = bookkeeping.Encode(bookkeeping.Chunk{Writer: b.tx.writer, Tasks: tasks})
-		}
-		racks := map[*rack]bool{}
-		for _, c := range copies {
-			if c.m.rack != nil && !b.guarded[c.m.rack] {
-				racks[c.m.rack] = true
-			}
+}
+
+// piece is one of a job's records on its way into a transaction.
+type piece struct {
+	record int
+	value  json.RawMessage
+	copies []*taskCopy // that it places
+	racks  map[*rack]bool
+}
+
+// piece makes one. An array's places in more racks than a transaction has
+// conditions for are given up, and planned again.
+func (b *batch) piece(j *job, r int) piece {
+	tasks, copies := j.record(r)
+	p := piece{record: r, copies: copies, racks: map[*rack]bool{}}
+	most, dropped := bookkeeping.GangChunk(b.l.limits().TxnOps), false
+	for _, c := range copies {
+		if c.m.rack == nil || p.racks[c.m.rack] {
+			continue
 		}
-		conditions := 1 + len(racks)
-		if !b.fits(1, conditions, len(value)+conditions*80) {
-			break
+		if len(p.racks) >= most && !j.spec.Gang() {
+			b.l.drop(c)
+			dropped = true
+			continue
 		}
+		p.racks[c.m.rack] = true
+	}
+	if dropped {
+		tasks, p.copies = j.record(r)
+	}
+	if r == 0 {
+		p.value = bookkeeping.Encode(j.header(b.tx.writer, tasks))
+	} else {
+		p.value = bookkeeping.Encode(bookkeeping.Chunk{Writer: b.tx.writer, Tasks: tasks})
+	}
+	return p
+}
+
+// conditions is how many conditions the pieces add.
+func (b *batch) conditions(pieces []piece) int {
+	racks := map[*rack]bool{}
+	for _, p := range pieces {
+		for r := range p.racks {
+			racks[r] = racks[r] || !b.guarded[r]
+		}
+	}
+	n := len(pieces)
+	for _, added := range racks {
+		if added {
+			n++
+		}
+	}
+	return n
+}
+
+// addPieces adds pieces of a job, all or none.
+func (b *batch) addPieces(w *jobWrite, pieces ...piece) bool {
+	conditions, bytes := b.conditions(pieces), 0
+	for _, p := range pieces {
+		bytes += len(p.value)
+	}
+	if !b.fits(len(pieces), conditions, bytes+conditions*80) {
+		return false
+	}
+	j := w.j
+	for _, p := range pieces {
 		key := bookkeeping.JobKey(j.id)
-		if r > 0 {
-			key = bookkeeping.ChunkKey(j.id, r)
+		if p.record > 0 {
+			key = bookkeeping.ChunkKey(j.id, p.record)
 		}
-		b.guard(key, j.stamps[r])
-		b.set(key, value)
-		for _, c := range copies {
+		b.guard(key, j.stamps[p.record])
+		b.set(key, p.value)
+		for _, c := range p.copies {
 			if c.m.rack != nil {
 				b.guardRack(c.m.rack)
 			}
 		}
-		w.records = append(w.records, r)
-		w.copies = append(w.copies, copies...)
-		delete(j.dirty, r)
+		w.records = append(w.records, p.record)
+		w.copies = append(w.copies, p.copies...)
+		delete(j.dirty, p.record)
 	}
-	if len(w.records) > 0 {
-		if w.records[len(w.records)-1] != 0 {
-			j.dirty[0] = true
+	return true
+}
+
+// addRecords adds as many of a job's changed records as fit.
+func (b *batch) addRecords(w *jobWrite) {
+	j := w.j
+	var records []int
+	for r := range j.dirty {
+		records = append(records, r)
+	}
+	slices.Sort(records)
+	// The first record carries the counts: it is always written, and last.
+	if records[0] == 0 {
+		records = records[1:]
+	}
+	for _, r := range records {
+		if !b.addPieces(w, b.piece(j, r)) {
+			return // further records first
+		}
+	}
+	b.addPieces(w, b.piece(j, 0))
+}
+
+// addParts adds the parts of a record that is being split.
+func (b *batch) addParts(w *jobWrite, parts []int) {
+	var pieces []piece
+	for _, r := range parts {
+		pieces = append(pieces, b.piece(w.j, r))
+	}
+	if b.addPieces(w, pieces...) {
+		return
+	}
+	for _, r := range parts {
+		w.j.dirty[r] = true
+	}
+	if len(b.txn.Then) > 0 || b.room() < len(pieces) {
+		return
+	}
+	// Not even alone: its places must wait until it is split.
+	for _, c := range w.j.list() {
+		if !c.committed {
+			b.l.drop(c)
 		}
-		j.writing = true
-		b.tx.jobs = append(b.tx.jobs, w)
 	}
 }
 
@@ -255,7 +340,7 @@
 // record lists the tasks of one of the job's records and the copies that it
 // places.
 func (j *job) record(r int) (tasks []bookkeeping.Task, copies []*taskCopy) {
-	for i := r * j.chunk; i < min((r+1)*j.chunk, len(j.tasks)); i++ {
+	for _, i := range j.members(r) {
 		t := &j.tasks[i]
 		if t.attempt == 0 && !t.done {
 			continue
@@ -279,8 +364,12 @@
 			placed++
 		}
 	}
+	parts := 0
+	if len(j.further) > 0 {
+		parts = len(j.stamps)
+	}
 	return bookkeeping.Job{Writer: writer, Spec: j.spec, AtMs: j.at.UnixMilli(), Seq: j.seq, Attempt: j.attempt,
-		Cancelled: j.cancelled, Done: j.done, Placed: placed, Chunk: j.chunk, Tasks: tasks}
+		Cancelled: j.cancelled, Done: j.done, Placed: placed, Chunk: j.chunk, Parts: parts, Tasks: tasks}
 }
 
 func (l *leader) send(tx *commit) {
@@ -303,6 +392,7 @@
 			l.resend(tx)
 		case status == 400:
 			l.n.log.Error("transaction refused", "body", string(body))
+			l.n.lowered = l.n.lowered || l.n.cfg.Cluster.Present != nil
 			l.conflict(tx, nil)
 			l.commitAt = l.n.now.Add(time.Second)
 		default:
@@ -366,6 +456,7 @@
 		}
 		for _, r := range w.records {
 			j.stamps[r] = max(j.stamps[r], revision)
+			delete(j.unborn, r)
 		}
 		for _, c := range w.copies {
 			if j.copies[c.key] != c {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -41,6 +41,7 @@
 	looks     int       // machines looked at in the last pass
 	watchAt   time.Time // when the machines are looked over again
 	fleet     fleet
+	narrowed  bool // all records that had outgrown the limits were found
 	// when a job last came, and one that may not use spot machines
 	lastJob, lastOrdinary time.Time
 }
@@ -66,7 +67,11 @@
 	chunk     int
 	tasks     []task
 	done      int
-	stamps    []uint64 // revision of every record, the first is the job's own
+	stamps    []uint64    // revision of every record, the first is the job's own
+	moved     map[int]int // tasks that are not in the record that the chunk says
+	further   [][]int     // the tasks of the records beyond those
+	unborn    map[int]int // records split off that are yet to be written, and from which
+	specBytes int         // of the description in the first record
 
 	copies     map[copyKey]*taskCopy
 	dirty      map[int]bool // records that must be written
@@ -171,9 +176,10 @@
 			return
 		}
 		j.stamps[num] = e.Stamp
-		l.addTasks(j, c.Tasks)
+		l.addTasks(j, num, c.Tasks)
 	})
 	slices.Sort(l.cleanup)
+	l.splitRacks()
 	for _, m := range l.roster {
 		if m.rack == nil && sound {
 			// Places are committed only on machines that a room record has, and a
@@ -269,7 +275,7 @@
 		id: s.ID, spec: s, rank: s.Rank(), seq: rec.Seq, at: time.UnixMilli(rec.AtMs),
 		attempt: rec.Attempt, cancelled: rec.Cancelled, chunk: rec.Chunk,
 		tasks:  make([]task, s.Tasks),
-		stamps: make([]uint64, (s.Tasks+rec.Chunk-1)/rec.Chunk),
+		stamps: make([]uint64, max(rec.Regular(), rec.Parts)),
 		copies: map[copyKey]*taskCopy{}, dirty: map[int]bool{},
 		failures: map[string]bool{}, avoid: map[string]time.Time{},
 		waits: l.n.now,
@@ -278,6 +284,7 @@
 		j.seq = stamp // never written since its submission
 	}
 	j.stamps[0] = stamp
+	j.further = make([][]int, len(j.stamps)-rec.Regular())
 	j.startBy = l.startTimes(j)
 	l.n.log.Debug("job", "job", j.id, "class", s.Class, "shape", s.Shape, "tasks", s.Tasks, "gpus", s.GPUs, "team", s.Team, "estimate", s.EstimateS, "deadline", s.DeadlineS, "age", l.n.now.Sub(j.at).Seconds())
 	l.jobs[j.id] = j
@@ -285,15 +292,19 @@
 	if !s.Spot {
 		l.lastOrdinary = l.n.now
 	}
-	l.addTasks(j, rec.Tasks)
+	l.addTasks(j, 0, rec.Tasks)
 	return j
 }
 
-func (l *leader) addTasks(j *job, tasks []bookkeeping.Task) {
+// addTasks takes the tasks of one of a job's records.
+func (l *leader) addTasks(j *job, record int, tasks []bookkeeping.Task) {
 	for _, t := range tasks {
 		if t.Index < 0 || t.Index >= len(j.tasks) {
 			continue
 		}
+		if record >= j.regular() {
+			j.move(t.Index, record)
+		}
 		jt := &j.tasks[t.Index]
 		jt.attempt = t.Attempt
 		j.begun = true
@@ -462,7 +473,7 @@
 		if !j.tasks[i].done {
 			j.tasks[i].done = true
 			j.done++
-			l.touch(j, i/j.chunk)
+			l.touch(j, j.recordOf(i))
 		}
 	}
 	if j.spec.Gang() {
@@ -562,6 +573,7 @@
 		l.schedule()
 		l.planAt = l.n.now.Add(l.planPause())
 	}
+	l.narrow()
 	l.commitNext()
 	l.sendDirect()
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -158,6 +158,7 @@
 	// when the state service last served this node, and when it was last asked
 	served, asked time.Time
 	silent        bool // it did not answer the last request
+	lowered       bool // it has refused what its limits used to allow
 
 	finals map[string]bookkeeping.Final
 	polls  []poll
--- /dev/null
+++ b/internal/coordination/parts_test.go
@@ -0,0 +1,175 @@
+package coordination
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// lowering is a leader whose state service will lower its limits, with a sibling
+// that has yet to say what it knows, and a job of an earlier version whose record
+// has outgrown the new limits.
+func lowering(t *testing.T) (*leader, *job) {
+	t.Helper()
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	n := l.n
+	present := n.cfg.Cluster.State
+	n.cfg.Cluster.Present = &present
+	n.cfg.Cluster.State = config.State{RPS: 80, WriteRPS: 15, ValueKB: 2, TxnOps: 4}
+	n.peers["s"] = &peer{link: 1}
+	s := protocol.Job{ID: "run-000077", Class: "c", Team: "free", Shape: protocol.ShapeArray, Priority: "normal", Tasks: 98, CPUs: 1, MemoryGB: 1, Image: "img", ImageGB: 1}
+	rec := &bookkeeping.Job{Spec: &s, AtMs: n.now.UnixMilli(), Seq: 5, Chunk: 98}
+	for i := range s.Tasks {
+		task := bookkeeping.Task{Index: i, Attempt: 1 + uint64(i%3), Machine: "i-000231", Session: 1}
+		if i%5 == 0 {
+			task = bookkeeping.Task{Index: i, Attempt: 1, Done: true}
+		}
+		rec.Tasks = append(rec.Tasks, task)
+	}
+	return l, l.addJob(rec, 9)
+}
+
+// commitLater sends what there is to write after a while.
+func (l *leader) commitLater(d time.Duration) {
+	l.n.now = l.n.now.Add(d)
+	l.n.claim.renewed, l.n.known = l.n.now, l.n.now
+	l.commitNext()
+}
+
+// sentTxn is the transaction that the leader sent last.
+func (l *leader) sentTxn(t *testing.T) (protocol.Txn, Request) {
+	t.Helper()
+	r := l.n.lastRequest(t, ToState)
+	var txn protocol.Txn
+	if err := json.Unmarshal(r.Body, &txn); err != nil {
+		t.Fatal(err)
+	}
+	return txn, r
+}
+
+// TestSplitRecord: as long as a sibling may be of the first version, which would
+// not find a further record, a job's record is written whole; then in parts, within
+// the lowered limits and in one transaction, and what another leader reads is the
+// same.
+func TestSplitRecord(t *testing.T) {
+	l, j := lowering(t)
+	l.touch(j, 0)
+	l.commitLater(tuning.MarkLate + time.Second)
+	txn, r := l.sentTxn(t)
+	if len(txn.Then) != 1 || len(txn.Then[0].Value) <= 2048 {
+		t.Fatalf("%d changes, the first of %d bytes", len(txn.Then), len(txn.Then[0].Value))
+	}
+	l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: 20})})
+	l.n.handle(PeerReceive{Peer: "s", Link: 1, Message: protocol.Announcement("n")})
+	l.narrow()
+	l.commitLater(tuning.MarkLate + time.Second)
+	txn, r = l.sentTxn(t)
+	if len(txn.Then) < 2 || len(txn.Then) > 4 || txn.Then[len(txn.Then)-1].Set != bookkeeping.JobKey(j.id) {
+		t.Fatalf("%d changes", len(txn.Then))
+	}
+	next := testLeader(l.n.now)
+	for _, c := range txn.Then {
+		if len(c.Value) > 2048 {
+			t.Errorf("%s of %d bytes", c.Set, len(c.Value))
+		}
+	}
+	head, err := bookkeeping.DecodeJob(txn.Then[len(txn.Then)-1].Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := next.addJob(head, 21)
+	for _, c := range txn.Then[:len(txn.Then)-1] {
+		var chunk bookkeeping.Chunk
+		if err := json.Unmarshal(c.Value, &chunk); err != nil {
+			t.Fatal(err)
+		}
+		_, num, _ := bookkeeping.SplitChunkKey(c.Set)
+		if num >= len(again.stamps) {
+			t.Fatalf("%s is not among the %d records", c.Set, len(again.stamps))
+		}
+		next.addTasks(again, num, chunk.Tasks)
+	}
+	for i := range j.tasks {
+		a, b := &j.tasks[i], &again.tasks[i]
+		if a.attempt != b.attempt || a.done != b.done || (a.active == nil) != (b.active == nil) || j.recordOf(i) != again.recordOf(i) {
+			t.Fatalf("task %d: %+v in %d, %+v in %d", i, a, j.recordOf(i), b, again.recordOf(i))
+		}
+	}
+	// Refused by a race, it is sent again with all its parts.
+	l.n.handle(Response{ID: r.ID, Status: 409, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: 22, Failed: []string{bookkeeping.JobKey(j.id)}})})
+	l.commitLater(tuning.MarkLate + time.Second)
+	if second, _ := l.sentTxn(t); len(second.Then) != len(txn.Then) {
+		t.Errorf("%d changes, then %d", len(txn.Then), len(second.Then))
+	}
+}
+
+// TestRefusedForSize: a state service that refuses a value has lowered its limits,
+// which it does only once all controllers have the new version: whatever the leader
+// has heard of its siblings, the record is split and not sent again as it was.
+func TestRefusedForSize(t *testing.T) {
+	l, j := lowering(t)
+	l.touch(j, 0)
+	l.commitLater(tuning.MarkLate + time.Second)
+	_, r := l.sentTxn(t)
+	l.n.handle(Response{ID: r.ID, Status: 400, Body: []byte(`{"error":"too large"}`)})
+	l.commitLater(tuning.MarkLate + time.Second)
+	if txn, _ := l.sentTxn(t); len(txn.Then) < 2 {
+		t.Errorf("%d changes, the first of %d bytes", len(txn.Then), len(txn.Then[0].Value))
+	}
+}
+
+// TestSplitRacks: machines move out of a room record that has outgrown the limits
+// into others, which are written first: none may be in no record for a moment.
+func TestSplitRacks(t *testing.T) {
+	l, _ := lowering(t)
+	rec := bookkeeping.Rack{}
+	for i := range 90 {
+		rec.Machines = append(rec.Machines, bookkeeping.Room{ID: "i-0000" + string(rune('a'+i/26)) + string(rune('a'+i%26)), Address: "10.1.0.232:9000", Type: "big", Zone: "a"})
+	}
+	l.loadRack("g/m/old", 9, &rec)
+	l.splitRacks()
+	old := l.racks[0]
+	l.writeRoom(old.members[0]) // it is to be written at once
+	named := map[string]string{}
+	for _, m := range rec.Machines {
+		named[m.ID] = "g/m/old"
+	}
+	for range 10 {
+		l.commitLater(time.Second)
+		if l.inFlight == nil {
+			break
+		}
+		txn, r := l.sentTxn(t)
+		for _, c := range txn.Then {
+			var rack bookkeeping.Rack
+			if json.Unmarshal(c.Value, &rack) != nil || len(rack.Machines) == 0 {
+				continue
+			}
+			if len(c.Value) > 2048 || len(txn.Then) > 4 {
+				t.Errorf("%s of %d bytes, one of %d changes", c.Set, len(c.Value), len(txn.Then))
+			}
+			for id, key := range named {
+				if key == c.Set {
+					named[id] = ""
+				}
+			}
+			for _, m := range rack.Machines {
+				named[m.ID] = c.Set
+			}
+		}
+		for id, key := range named {
+			if key == "" {
+				t.Fatalf("%s is in no record", id)
+			}
+		}
+		l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: l.n.claim.term + uint64(l.n.now.Unix()%1000)})})
+	}
+	if len(old.leaving) > 0 && !l.settled(old) {
+		t.Error("the old record is never written")
+	}
+}
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -212,7 +212,7 @@
 // placeGang finds a place for every task of a gang, or for none.
 func (l *leader) placeGang(j *job) bool {
 	g := len(j.tasks)
-	if l.teamRoom(j) < g {
+	if l.teamRoom(j) < g || l.splitFirst(j) {
 		return false
 	}
 	limit, only := l.zoneLimits(j)
@@ -420,5 +420,5 @@
 	if attempt > 1 {
 		l.n.metrics.Repairs++
 	}
-	l.touch(j, index/j.chunk)
+	l.touch(j, j.recordOf(index))
 }
--- a/internal/coordination/rooms.go
+++ b/internal/coordination/rooms.go
@@ -19,6 +19,9 @@
 	queued  bool // is to be written soon: machines were added or closed
 	// since when it names machines that are gone, to be written when there is time
 	stale time.Time
+	// machines that it names and that moved to other racks: it is not written before
+	// those are, for a machine that no record names would count as gone
+	leaving []*machine
 }
 
 // rackWrite is a rack's part of a transaction.
@@ -89,6 +92,31 @@
 	l.racks = append(l.racks, r)
 }
 
+// splitRacks moves machines out of records that have outgrown the limits. Until
+// the new record is written such a machine takes no task; then both name it.
+func (l *leader) splitRacks() {
+	limit := bookkeeping.RackBytes(l.n.cfg.Cluster.State.ValueKB)
+	for _, r := range slices.Clone(l.racks) {
+		for r.bytes > limit && len(r.members) > 1 {
+			m := r.members[len(r.members)-1]
+			r.members = r.members[:len(r.members)-1]
+			r.bytes -= m.rackBytes
+			r.leaving = append(r.leaving, m)
+			r.stale = l.n.now
+			m.recorded = false
+			l.assignRack(m)
+			m.rack.queued = true
+		}
+	}
+}
+
+// settled says whether all machines that have moved out of a rack are recorded in
+// another, or gone.
+func (l *leader) settled(r *rack) bool {
+	r.leaving = slices.DeleteFunc(r.leaving, func(m *machine) bool { return m.recorded || l.machines[m.id] != m })
+	return len(r.leaving) == 0
+}
+
 // strayRack has a room record deleted that this leader does not have: its creation
 // was carried out late, when the record had served its time.
 func (l *leader) strayRack(ev *protocol.WatchEvent) {
@@ -106,7 +134,7 @@
 // addRacks adds the racks that are to be written to a transaction.
 func (b *batch) addRacks(wanted func(r *rack) bool) {
 	for _, r := range b.l.racks {
-		if !wanted(r) {
+		if !wanted(r) || !b.l.settled(r) {
 			continue
 		}
 		if len(r.members) == 0 {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -93,7 +93,12 @@
 		}
 		return
 	}
-	rec := bookkeeping.Job{Writer: n.unique(), Spec: j, AtMs: n.now.UnixMilli(), Chunk: bookkeeping.ChunkSize(n.cfg.Cluster.State.ValueKB)}
+	state := n.cfg.Cluster.State
+	if !bookkeeping.Storable(state.ValueKB, j) {
+		n.reply(id, 400, protocol.ErrorBody{Error: "the description is too long"})
+		return
+	}
+	rec := bookkeeping.Job{Writer: n.unique(), Spec: j, AtMs: n.now.UnixMilli(), Chunk: bookkeeping.ChunkSize(state.ValueKB, state.TxnOps, j)}
 	txn := bookkeeping.Encode(protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}, {Key: bookkeeping.FinalKey(j.ID)}},
 		Then: []protocol.Change{{Set: bookkeeping.JobKey(j.ID), Value: bookkeeping.Encode(rec)}},
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -452,7 +452,7 @@
 	if j == nil || index >= len(j.tasks) {
 		return true
 	}
-	return t.Cause != protocol.CauseDone || !j.writing && !j.dirty[index/j.chunk]
+	return t.Cause != protocol.CauseDone || !j.writing && !j.dirty[j.recordOf(index)]
 }
 
 // useImage notes that the machine has an image; it keeps those last used.
--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -31,6 +31,7 @@
 	cancelled time.Time // when its user was told
 	began     time.Time // when it first ran, a gang as a whole
 	last      func()    // what happens when the last task has completed
+	starts    map[int]int
 }
 
 func newRules(w *World) *rules {
@@ -46,6 +47,11 @@
 func (r *rules) starts(t *workerTask) {
 	r.started++
 	s := t.job
+	if j := r.jobs[s.ID]; j.starts == nil {
+		j.starts = map[int]int{t.index: 1}
+	} else {
+		j.starts[t.index]++
+	}
 	if !r.jobs[s.ID].cancelled.IsZero() {
 		r.late++
 	}
--- /dev/null
+++ b/internal/simulation/upgrade_test.go
@@ -0,0 +1,183 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+// lowered is the shape of a deployment whose state service will lower its limits.
+func lowered(s Shape, writes float64, ops int) Shape {
+	s.Lowered = &config.State{RPS: s.State.RPS, WriteRPS: writes, ValueKB: 2, TxnOps: ops}
+	return s
+}
+
+// upgrade ends the controllers one after the other; each comes back as the new
+// version. One that ends before its turn comes back as it was.
+func (w *World) upgrade(every time.Duration) {
+	for i, c := range w.nodes {
+		w.after(time.Duration(i)*every, func() {
+			w.old[c.name] = false
+			if c.alive {
+				c.crash(w.between(200*time.Millisecond, 4*time.Second))
+			}
+		})
+	}
+}
+
+// TestUpgrade: the first version serves, with records that the lowered limits do
+// not allow; the controllers are replaced while troubles go on, the limits are
+// lowered, and every rule holds; nothing is lost and all is served. The leader may
+// be any of both versions at any time.
+func TestUpgrade(t *testing.T) {
+	days := 24
+	if testing.Short() {
+		days = 6
+	}
+	for seed := range days {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			shape := lowered(Small(), 12, 4)
+			if seed%2 == 1 {
+				shape = lowered(tiny(), 12, 4)
+			}
+			shape.Capacity = 30
+			w := NewShaped(uint64(900+seed), logs(), shape)
+			for _, c := range w.nodes {
+				w.old[c.name] = true
+				c.crash(time.Millisecond)
+			}
+			w.load(12, 100*time.Second)
+			for i := range 4 {
+				s := array(fmt.Sprintf("run-60000%d", i), 60+w.rng.IntN(90))
+				s.GPUs, s.CPUs, s.MemoryGB, s.Spot = 0.25, 1, 5, true
+				w.submit(w.between(0, 50*time.Second), s, 20+60*w.rng.Float64(), 0, false)
+				g := gangJob(fmt.Sprintf("run-60001%d", i), 16+w.rng.IntN(8))
+				g.OneZone, g.CheckpointS, g.SaveS = true, 10, 2
+				w.submit(w.between(0, 80*time.Second), g, 30, 0, false)
+			}
+			w.Run(w.between(30*time.Second, 60*time.Second))
+			if seed%3 > 0 {
+				w.every(9*time.Second, 8, func(int) { w.log.Info("trouble", "what", w.trouble()) })
+			}
+			w.upgrade(w.between(time.Second, 20*time.Second))
+			w.Run(70 * time.Second)
+			w.state.lower()
+			w.Run(40 * time.Second)
+			w.replace(300 * time.Millisecond)
+			w.Run(60 * time.Second)
+			w.calm = w.Now
+			w.mendAll()
+			w.left()
+			for end := w.Now.Add(600 * time.Second); w.Now.Before(end) && !w.over(); {
+				w.Run(5 * time.Second)
+			}
+			for _, u := range w.users {
+				if !u.over && !u.j.mistaken {
+					w.rules.broken("liveness", "%s %s of %d tasks is still %q: done %v", u.j.spec.ID, u.j.spec.Shape, u.j.spec.Tasks, u.phase, u.j.done)
+				}
+			}
+			w.check(t)
+		})
+	}
+}
+
+// mendAll lets sick machines work again.
+func (w *World) mendAll() {
+	for _, k := range w.workers {
+		k.sick = false
+	}
+}
+
+// TestLoweredLimits: records that the first version wrote are split once all know
+// the new form, by transactions within the lowered limits, also when these come
+// while a new leader has yet to hear from its siblings; a thousand machines' room
+// records are as well, and no machine is forgotten on the way.
+func TestLoweredLimits(t *testing.T) {
+	shape := lowered(grown(), 21, 8)
+	shape.State.TxnOps = 24
+	w := NewShaped(77, logs(), shape)
+	for _, c := range w.nodes {
+		w.old[c.name] = true
+		c.crash(time.Millisecond)
+	}
+	w.Run(5 * time.Second)
+	w.crowd(60, 30*time.Second)
+	for i := range 5 {
+		s := array(fmt.Sprintf("run-60000%d", i), 150)
+		s.Team, s.Class, s.Priority = "team-0", "array", "idle"
+		w.submit(0, s, 150, 0, false)
+		g := gangJob(fmt.Sprintf("run-60001%d", i), 32)
+		g.Team, g.Class, g.Priority, g.GPUs, g.CPUs, g.MemoryGB, g.OneZone = "team-1", "gang", "high", 2, 20, 110, true
+		w.submit(0, g, 100, 0, false)
+	}
+	w.Run(60 * time.Second)
+	starts, before := w.rules.started, w.gangTasksStartedAgain()
+	for _, c := range w.nodes {
+		w.old[c.name] = false
+		c.crash(time.Second)
+		w.Run(9 * time.Second)
+	}
+	w.Run(12 * time.Second)
+	for key, e := range w.state.keys {
+		if len(e.Value) > 2048 {
+			t.Errorf("%s still has %d bytes", key, len(e.Value))
+		}
+	}
+	w.state.lower()
+	for _, c := range w.nodes {
+		c.crash(time.Second)
+	}
+	w.Run(10 * time.Second)
+	w.calm = w.Now
+	w.finish(t, 500*time.Second)
+	again := w.gangTasksStartedAgain() - before
+	t.Logf("%d starts before the upgrade, %d tasks of gangs started again since", starts, again)
+	if again > 0 {
+		t.Errorf("%d tasks of gangs were started again", again)
+	}
+}
+
+// gangTasksStartedAgain counts the starts of gangs' tasks beyond the first; arrays
+// make way for them.
+func (w *World) gangTasksStartedAgain() (again int) {
+	for _, j := range w.rules.jobs {
+		if j.spec.Gang() {
+			for _, n := range j.starts {
+				again += n - 1
+			}
+		}
+	}
+	return again
+}
+
+// TestOversizedUnderLoweredLimits: the limits are lowered before anything was
+// split, and a new leader that knows nothing of its siblings finds the records.
+func TestOversizedUnderLoweredLimits(t *testing.T) {
+	shape := lowered(Small(), 15, 4)
+	shape.Capacity = 40
+	w := NewShaped(78, logs(), shape)
+	for _, c := range w.nodes {
+		w.old[c.name] = true
+		c.crash(time.Millisecond)
+	}
+	w.Run(5 * time.Second)
+	s := array("run-600000", 140)
+	s.GPUs, s.CPUs, s.MemoryGB = 0.5, 2, 10
+	u := w.submit(0, s, 60, 0, false)
+	g := gangJob("run-600001", 20)
+	v := w.submit(5*time.Second, g, 40, 0, false)
+	off := w.submit(5*time.Second, func() *protocol.Job { s := array("run-600002", 120); s.GPUs, s.CPUs = 0.25, 1; return s }(), 500, 55*time.Second, false)
+	w.Run(40 * time.Second)
+	w.state.lower()
+	for _, c := range w.nodes {
+		w.old[c.name] = false
+		c.crash(time.Second)
+	}
+	w.waitFor(t, 300*time.Second, "all are over", func() bool { return u.over && v.over && off.over })
+	w.Run(80 * time.Second)
+	w.check(t)
+}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"regexp"
 	"slices"
 	"strconv"
 	"time"
@@ -61,6 +62,8 @@
 	State     config.State
 	Cloud     config.Cloud
 	Resources config.Resources
+	// Lowered are the state service's limits to come, which the settings announce.
+	Lowered *config.State
 	// Slow controllers take time for what they do, by their share of a core.
 	Slow bool
 }
@@ -106,8 +109,9 @@
 	copies  time.Duration // for so long copies of reports may be late, 0: there are none
 	keep    bool          // copies of reports are kept for the next leader
 	kept    [][]byte
-	close   bool    // users look closely: they ask every node after every answer
-	atEnd   float64 // this share of the jobs is called off at the moment of their end
+	old     map[string]bool // controllers that behave as the first version does
+	close   bool            // users look closely: they ask every node after every answer
+	atEnd   float64         // this share of the jobs is called off at the moment of their end
 }
 
 // New makes a small world of three controllers.
@@ -121,6 +125,7 @@
 		rng:     rand.New(rand.NewPCG(seed, 7)),
 		zoneOf:  map[string]string{},
 		workers: map[string]*worker{},
+		old:     map[string]bool{},
 	}
 	if logs != nil {
 		w.log = slog.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
@@ -159,6 +164,11 @@
 	}
 	c.Cluster = config.Cluster{Nodes: 3, Zones: w.shape.Zones, Teams: w.shape.Teams, Workers: w.shape.Workers,
 		State: w.shape.State, Cloud: w.shape.Cloud, Resources: w.shape.Resources}
+	if next := w.shape.Lowered; next != nil && !w.old[name] {
+		present := w.shape.State
+		c.Cluster.Present = &present
+		c.Cluster.State = *next
+	}
 	return c
 }
 
@@ -375,6 +385,9 @@
 				answer(a.Status, a.Body)
 			}
 		case coordination.PeerSend:
+			if !c.speaks(a) {
+				continue
+			}
 			for _, o := range c.w.nodes {
 				if o.name == a.Peer && c.peers[o.name] {
 					to := o.life
@@ -398,6 +411,10 @@
 
 func (c *controller) request(a coordination.Request, done func(status int, body []byte)) {
 	to, handle := "state", func(answer func(int, []byte)) {
+		if c.w.old[c.name] {
+			whole := answer
+			answer = func(status int, body []byte) { whole(status, withoutNews(body)) }
+		}
 		c.w.state.serve(a.Method, a.Path, a.Body, c, answer)
 	}
 	switch a.To {
@@ -421,6 +438,22 @@
 	c.w.call(c.name, to, a.Timeout, handle, done)
 }
 
+// speaks says whether a node sends a message: the first version knows nothing of
+// what was added, and cuts a link on which it comes.
+func (c *controller) speaks(a coordination.PeerSend) bool {
+	_, announces := protocol.Announced(a.Message)
+	_, added := a.Message.(protocol.PeerCancelled)
+	if added && c.w.old[a.Peer] {
+		c.w.rules.broken("compatibility", "%s sends %T to %s", c.name, a.Message, a.Peer)
+	}
+	return !c.w.old[c.name] || !announces && !added
+}
+
+// withoutNews takes out of records what the first version drops when it reads them.
+func withoutNews(body []byte) []byte { return newFields.ReplaceAll(body, nil) }
+
+var newFields = regexp.MustCompile(`"parts":\d+,`)
+
 // recode passes a message through the peers' wire format.
 func recode(m protocol.PeerMessage) protocol.PeerMessage {
 	out, err := protocol.ReadPeer(newReader(protocol.AppendPeer(nil, m)))
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -130,9 +130,13 @@
 	TxnBytes = 60 << 10
 	// TaskBytes is a generous size of one task's entry in a record, by which
 	// the number of tasks in a record follows from the value limit.
-	TaskBytes = 52
-	// SpecBytes is kept free in a job's first record for its description.
-	SpecBytes = 3 << 10
+	TaskBytes = 40
+	// TasksPerRecord bounds that number: every change of a task writes, and every
+	// mirror reads, the whole record.
+	TasksPerRecord = 98
+	// HeaderBytes is kept free in a job's first record for all but its description
+	// and its tasks, a cancellation's mark among it.
+	HeaderBytes = 320
 	// FinalCache is how many final states a node remembers; they never change.
 	FinalCache = 20_000
 )
