Services: replicas run until cancelled, restart with pauses, move one by one, leave GPUs room

A task of the shape standing was an array's: one that reported done was done, all were put on one machine, a drained machine's replicas ran until it went, and a service that failed on three machines waited as a whole. Now a replica that ends by itself starts again, ever more rarely if it ends at once; replicas of a service are on machines of their own, and leave GPUs the processors and memory that work on them needs; they move away from machines that are to go or whose lease is about to lapse, one at a time, when there is a place for the successor. 422 when all tasks together exceed the team's limit.

A failed task's job avoids the machine for 60 s, not 120, and a blamed job pauses at most 40 s, not 80: none may wait 90 s beside room for it.

Seen failing with the guard broken: pauses (1598 starts in 150 s), moves, room for GPUs, done replicas, the limit.

--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -133,7 +133,7 @@
 		}
 		e := entry{j, 3}
 		switch age := l.n.now.Sub(j.dirtySince); {
-		case j.spec.Gang() && j.placing() || age > tuning.MarkLate || age > tuning.WriteWait && (j.placing() || j.finalPhase() != ""):
+		case (j.spec.Gang() || j.spec.Service()) && j.placing() || age > tuning.MarkLate || age > tuning.WriteWait && (j.placing() || j.finalPhase() != ""):
 			e.class = 0
 			urgent++
 			ready++
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -64,6 +64,7 @@
 func (l *leader) tickFleet() {
 	f := &l.fleet
 	now := l.n.now
+	l.moveReplicas()
 	spares := l.spares()
 	for _, m := range l.roster {
 		l.judge(m, spares)
@@ -400,7 +401,7 @@
 // endsWithin says whether a copy is likely to end within a span, by its
 // owner's estimate; one that has outrun its estimate may take as long again.
 func (l *leader) endsWithin(c *taskCopy, d time.Duration) bool {
-	if c.running.IsZero() {
+	if c.running.IsZero() || c.j.spec.Service() {
 		return false
 	}
 	estimate := seconds(c.j.spec.EstimateS * tuning.EstimateSlack)
@@ -411,7 +412,7 @@
 // canWait says whether a job's deadline leaves time to wait for machines that
 // others free: renting later would still do.
 func (l *leader) canWait(j *job) bool {
-	if j.spec.DeadlineS <= 0 || j.spec.Gang() {
+	if j.spec.DeadlineS <= 0 || j.spec.Gang() || j.spec.Service() {
 		return false
 	}
 	boot := 0.0
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -42,6 +42,7 @@
 	watchAt   time.Time // when the machines are looked over again
 	fleet     fleet
 	narrowed  bool // all records that had outgrown the limits were found
+	besideGPU room // what work on GPUs needs beside each of them
 	// when a job last came, and one that may not use spot machines
 	lastJob, lastOrdinary time.Time
 }
@@ -101,6 +102,8 @@
 	done    bool
 	copies  int
 	active  *taskCopy
+	ended   int       // how often in a row a replica ended soon after its start
+	retryAt time.Time // when one that did may start again
 }
 
 type copyKey struct {
@@ -255,6 +258,7 @@
 		switch {
 		case o.Kind == config.ObjectiveWait:
 			add(o.WithinS)
+		case s.Service(): // it has no end
 		case o.Kind == config.ObjectiveFinished:
 			add(o.WithinS - s.EstimateS)
 		case o.Kind == config.ObjectiveDeadline && s.DeadlineS > 0:
@@ -262,7 +266,7 @@
 			deadline = true
 		}
 	}
-	if s.DeadlineS > 0 && !deadline {
+	if s.DeadlineS > 0 && !deadline && !s.Service() {
 		add(s.DeadlineS - s.EstimateS)
 	}
 	slices.SortFunc(list, time.Time.Compare)
@@ -466,8 +470,8 @@
 // setDone notes that a task has completed. The tasks of a gang complete
 // together: if one is done, every one is.
 func (l *leader) setDone(j *job, index int) {
-	if j.gone || j.tasks[index].done {
-		return
+	if j.gone || j.tasks[index].done || j.spec.Service() {
+		return // a replica is never done, whatever it says
 	}
 	mark := func(i int) {
 		if !j.tasks[i].done {
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -145,6 +145,8 @@
 	count    int  // tasks that fit
 	residual int  // slots left over once they are placed
 	suspect  bool // a task has failed there and none has succeeded since
+	mates    int  // replicas of the same service there
+	crowded  bool // one more task without GPUs would leave its GPUs idle
 	survivor bool // held a task of the job's broken attempt
 	cached   bool
 	price    float64
--- a/internal/coordination/queue.go
+++ b/internal/coordination/queue.go
@@ -27,7 +27,7 @@
 	}
 	n := 0
 	for i := range j.tasks {
-		if !j.tasks[i].done && j.tasks[i].copies == 0 {
+		if t := &j.tasks[i]; !t.done && t.copies == 0 && !l.n.now.Before(t.retryAt) {
 			n++
 		}
 	}
@@ -44,6 +44,7 @@
 		}
 	}
 	l.pass = l.newPass()
+	l.reckonGPUs()
 	defer func() { l.looks, l.pass = l.pass.looks, nil }()
 	queue := l.ordered()
 	l.withinGuarantee(queue)
@@ -64,7 +65,7 @@
 			if l.placeGang(j) {
 				continue
 			}
-		} else if n = l.placeArray(j, false); n == 0 {
+		} else if n = l.placeTasks(j, false); n == 0 {
 			continue
 		}
 		if n = min(n, l.teamRoom(j)); n == 0 || j.spec.Gang() && n < len(j.tasks) {
@@ -93,13 +94,16 @@
 			return
 		}
 		if l.wants(j) > 0 {
-			l.placeArray(j, l.patient(j))
+			l.placeTasks(j, l.patient(j))
 		}
 	}
 }
 
 // patient says whether an array can wait for machines that have its image.
 func (l *leader) patient(j *job) bool {
+	if j.spec.Service() {
+		return false
+	}
 	fetch := seconds(l.fetchSeconds(j.spec) * tuning.WarmPatience)
 	for _, at := range j.startBy {
 		if !l.n.now.After(at) {
--- /dev/null
+++ b/internal/coordination/replicas.go
@@ -0,0 +1,190 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// The replicas of a service run until their user cancels it. They take what room
+// there is, as the tasks of an array do, but no two of a service on one machine if
+// there is a choice, and they leave GPUs the processors and memory that work on
+// them needs.
+
+// replicaEnded notes that a replica ended by itself. It starts again elsewhere at
+// once; one that ends again and again does so ever more rarely.
+func (l *leader) replicaEnded(c *taskCopy) {
+	t := &c.j.tasks[c.key.index]
+	if !c.running.IsZero() && l.n.now.Sub(c.running) >= tuning.ReplicaStable {
+		t.ended = 0
+	}
+	if t.ended > 0 {
+		t.retryAt = l.n.now.Add(tuning.ReplicaPause << min(t.ended-1, tuning.ReplicaDoublings))
+	}
+	t.ended++
+}
+
+// placeTasks gives waiting tasks of an array or a service the first free room; it
+// returns how many still wait.
+func (l *leader) placeTasks(j *job, warm bool) (waiting int) {
+	if j.spec.Service() {
+		return l.placeService(j)
+	}
+	return l.placeArray(j, warm)
+}
+
+// placeService finds each waiting replica the best place.
+func (l *leader) placeService(j *job) (waiting int) {
+	quota := l.teamRoom(j)
+	var list []site
+	var limit map[string]int
+	var only string
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.copies > 0 || l.n.now.Before(t.retryAt) {
+			continue
+		}
+		if waiting > 0 || quota == 0 {
+			waiting++
+			continue
+		}
+		if list == nil {
+			limit, only = l.zoneLimits(j)
+			list = l.replicaSites(j, only)
+		}
+		list = slices.DeleteFunc(list, func(s site) bool { return s.count == 0 || limit[s.m.zone] == 0 || only != "" && s.m.zone != only })
+		if len(list) == 0 {
+			waiting++
+			continue
+		}
+		s := &list[0]
+		for k := range list {
+			if byReplica(list[k], *s) < 0 {
+				s = &list[k]
+			}
+		}
+		l.assign(j, i, t.attempt+1, s.m)
+		quota--
+		limit[s.m.zone]--
+		if j.spec.OneZone {
+			only = s.m.zone
+		}
+		s.count, s.mates, s.cached = l.left(s.m).holds(j.spec, 1), s.mates+1, true
+		s.crowded = l.crowds(j.spec, s.m)
+	}
+	return waiting
+}
+
+// replicaSites lists the machines that can take a replica.
+func (l *leader) replicaSites(j *job, zone string) []site {
+	list := l.sites(j, zone)
+	for i := range list {
+		s := &list[i]
+		s.crowded = l.crowds(j.spec, s.m)
+		for _, c := range s.m.copies {
+			if c.j == j {
+				s.mates++
+			}
+		}
+	}
+	return list
+}
+
+// byReplica orders sites for a replica: no machine under suspicion, none that has
+// another replica of the service, none whose GPUs would lack processors or memory;
+// then the image, the price, and the least room left.
+func byReplica(a, b site) int {
+	return cmp.Or(trueFirst(b.suspect, a.suspect), cmp.Compare(a.mates, b.mates), trueFirst(b.crowded, a.crowded),
+		trueFirst(a.cached, b.cached), cmp.Compare(a.price, b.price), cmp.Compare(a.residual, b.residual), cmp.Compare(a.m.id, b.m.id))
+}
+
+// reckonGPUs finds what the work that takes GPUs needs beside each of them.
+func (l *leader) reckonGPUs() {
+	var need room
+	for _, j := range l.jobs {
+		if s := j.spec; s.GPUs > 0 {
+			need.cpus = max(need.cpus, s.CPUs/s.GPUs)
+			need.memory = max(need.memory, s.MemoryGB/s.GPUs)
+		}
+	}
+	if need.cpus > 0 || need.memory > 0 {
+		l.besideGPU = need // else as it was: more such work may come
+	}
+}
+
+// crowds says whether one more task without GPUs would leave a machine's GPUs
+// without the processors or memory that work on them needs.
+func (l *leader) crowds(s *protocol.Job, m *machine) bool {
+	t := l.kind(m)
+	if t == nil || t.GPUs == 0 || s.GPUs > 0 {
+		return false
+	}
+	rest := fullRoom(t)
+	rest.add(s, -1)
+	for _, c := range m.copies {
+		if c.j.spec.GPUs == 0 {
+			rest.add(c.j.spec, -1)
+		}
+	}
+	return rest.cpus+amountSlack < l.besideGPU.cpus*t.GPUs || rest.memory+amountSlack < l.besideGPU.memory*t.GPUs
+}
+
+// moveReplicas moves replicas away from machines that are to go, or whose lease is
+// about to lapse: two copies must never be, so the old one ends first, when there
+// is a place for its successor, on a machine that has its image if there is one.
+// Of a service one moves at a time, unless the cloud takes the machine away.
+func (l *leader) moveReplicas() {
+	for _, m := range l.roster {
+		if !m.closed && !l.mute(m) || m.deleting || !l.alive(m) {
+			continue
+		}
+		for _, c := range sortedCopies(m) {
+			j := c.j
+			if !j.spec.Service() || c.stop || !c.committed || j.cancelled || c.stray || !m.noticed && !j.whole() {
+				continue
+			}
+			if target := l.successor(c); target != nil {
+				l.n.log.Info("replica moves", "job", j.id, "task", c.key.index, "from", m.id, "to", target.id)
+				target.keep(j, l.n.now.Add(tuning.HoldFor))
+				l.stop(c, 0)
+			}
+		}
+	}
+}
+
+// whole says whether every task of a job has a place and none is on its way out.
+func (j *job) whole() bool {
+	for i := range j.tasks {
+		c := j.tasks[i].active
+		if c == nil || c.stop {
+			return false
+		}
+	}
+	return true
+}
+
+// successor is the machine that a replica would best move to, nil if there is none.
+func (l *leader) successor(c *taskCopy) *machine {
+	j := c.j
+	limit, only := l.zoneLimits(j)
+	limit[c.m.zone]++ // its own place is given up
+	if j.spec.OneZone && len(j.copies) == 1 {
+		only = ""
+		for z := range limit {
+			limit[z] = 1
+		}
+	}
+	var best *site
+	list := l.replicaSites(j, only)
+	for i := range list {
+		if s := &list[i]; s.m != c.m && limit[s.m.zone] > 0 && (best == nil || byReplica(*s, *best) < 0) {
+			best = s
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.m
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		count := 1.0
-		if j.Gang() {
+		if j.Gang() || j.Service() { // all its tasks run at the same time
 			count = float64(j.Tasks)
 		}
 		if t.MaxGPUs > 0 && j.GPUs*count > t.MaxGPUs+amountSlack || t.MaxCPUs > 0 && j.CPUs*count > t.MaxCPUs+amountSlack {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -294,6 +294,9 @@
 func (l *leader) exited(m *machine, c *taskCopy, t protocol.TaskReport) {
 	j := c.j
 	l.n.log.Debug("task exited", "job", j.id, "task", c.key.index, "attempt", c.key.attempt, "machine", m.id, "cause", t.Cause, "saved", t.Saved)
+	if j.spec.Service() && (t.Cause == protocol.CauseDone || t.Cause == protocol.CauseError) {
+		l.replicaEnded(c)
+	}
 	switch t.Cause {
 	case protocol.CauseDone, protocol.CauseStopped, protocol.CausePeers, protocol.CauseAlone:
 	case protocol.CauseError:
@@ -303,8 +306,13 @@
 			// It fails everywhere: the job is to blame, not the machines.
 			// It goes on trying, ever more rarely, on what is free: it must not
 			// keep sound work of lower priority from its machines for ever.
-			j.retryAt = l.n.now.Add(tuning.ErrorPause << min(j.blamed, tuning.ErrorDoublings))
-			j.blamed++
+			// The replicas of a service have pauses of their own.
+			if j.spec.Service() {
+				clear(j.failures)
+			} else {
+				j.retryAt = l.n.now.Add(tuning.ErrorPause << min(j.blamed, tuning.ErrorDoublings))
+				j.blamed++
+			}
 			for _, other := range l.machines {
 				delete(other.failed, j.id)
 			}
@@ -334,8 +342,8 @@
 		l.writeRoom(m) // no leader places anything there any more
 	}
 	for _, c := range sortedCopies(m) {
-		if c.stop || c.j.spec.CheckpointS == 0 && !m.distrust {
-			continue
+		if c.stop || c.j.spec.Service() || c.j.spec.CheckpointS == 0 && !m.distrust {
+			continue // replicas move one by one
 		}
 		l.preempt(c)
 	}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -29,8 +29,8 @@
 const (
 	ShapeArray = "array"
 	ShapeGang  = "gang"
-	// ShapeService is a set of tasks that run until their user cancels them.
-	// It is placed like an array. See docs/questions.md.
+	// ShapeService is a set of tasks, replicas, that run until their user cancels
+	// them: one that ends for any other cause runs again.
 	ShapeService = "standing"
 )
 
@@ -127,6 +127,9 @@
 // Gang says whether all tasks run at the same time.
 func (j *Job) Gang() bool { return j.Shape == ShapeGang }
 
+// Service says whether the tasks run until the job is cancelled.
+func (j *Job) Service() bool { return j.Shape == ShapeService }
+
 // Rank is the job's priority as a number.
 func (j *Job) Rank() Rank {
 	r, _ := ParseRank(j.Priority)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -242,8 +242,17 @@
 	JobErrors = 3
 	// ErrorPause is the pause before a job that was blamed is tried again.
 	ErrorPause = 10 * time.Second
-	// ErrorDoublings is how often the pause doubles: up to 80 s.
-	ErrorDoublings = 3
+	// ErrorDoublings is how often the pause doubles: up to 40 s. Once all troubles are
+	// over no job may wait 90 s beside room for it.
+	ErrorDoublings = 2
+	// ReplicaStable is how long a replica must have run for its end not to count as
+	// one of a series.
+	ReplicaStable = 30 * time.Second
+	// ReplicaPause is the pause after the second such end in a row; the first may be
+	// the machine's fault, and the replica starts elsewhere at once.
+	ReplicaPause = time.Second
+	// ReplicaDoublings is how often the pause doubles: up to 32 s.
+	ReplicaDoublings = 5
 )
 
 // Operator holds what operators may set in the properties file.
@@ -327,8 +336,9 @@
 	// AvoidFor is how long a job avoids a machine that refused its task.
 	AvoidFor = 15 * time.Second
 	// AvoidFailed is how long a job avoids a machine on which its task failed:
-	// long enough for another job to show whether the machine is to blame.
-	AvoidFailed = 2 * time.Minute
+	// long enough for another job to show whether the machine is to blame, well below
+	// the 90 s that no job may wait beside room for it.
+	AvoidFailed = time.Minute
 	// WarmFetch is the fetch time, in seconds, from which a gang would rather
 	// take machines that have its image.
 	WarmFetch = 5.0
