Hosts of replicas are missed sooner; behind a cut they are given up if others can take over

A replica on a machine that died was away for 12 s: 8.5 s of silence, two probes with a pause, the deletion. Its machine is now probed after 1.2 report intervals, twice without a pause. Behind a suspected cut such a machine is returned if another zone is heard and has places that the replicas' limits allow; else it waits as before. A replica that ran for 30 s before it ended blames neither itself nor its machine.

--- a/internal/coordination/replicas.go
+++ b/internal/coordination/replicas.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
@@ -14,16 +15,19 @@
 // them needs.
 
 // replicaEnded notes that a replica ended by itself. It starts again elsewhere at
-// once; one that ends again and again does so ever more rarely.
-func (l *leader) replicaEnded(c *taskCopy) {
+// once; one that ends again and again does so ever more rarely. One that ran for a
+// while is stable: neither it nor its machine is to blame.
+func (l *leader) replicaEnded(c *taskCopy) (stable bool) {
 	t := &c.j.tasks[c.key.index]
 	if !c.running.IsZero() && l.n.now.Sub(c.running) >= tuning.ReplicaStable {
 		t.ended = 0
+		return true
 	}
 	if t.ended > 0 {
 		t.retryAt = l.n.now.Add(tuning.ReplicaPause << min(t.ended-1, tuning.ReplicaDoublings))
 	}
 	t.ended++
+	return false
 }
 
 // placeTasks gives waiting tasks of an array or a service the first free room; it
@@ -166,10 +170,17 @@
 }
 
 // successor is the machine that a replica would best move to, nil if there is none.
-func (l *leader) successor(c *taskCopy) *machine {
+func (l *leader) successor(c *taskCopy) *machine { return l.otherHost(c, 1) }
+
+// elsewhere is the same in other zones alone.
+func (l *leader) elsewhere(c *taskCopy) *machine { return l.otherHost(c, 0) }
+
+// otherHost finds a machine for a replica whose own place is given up; here is how
+// many of its zone's places it may take in turn.
+func (l *leader) otherHost(c *taskCopy, here int) *machine {
 	j := c.j
 	limit, only := l.zoneLimits(j)
-	limit[c.m.zone]++ // its own place is given up
+	limit[c.m.zone] = here * (limit[c.m.zone] + 1)
 	if j.spec.OneZone && len(j.copies) == 1 {
 		only = ""
 		for z := range limit {
@@ -188,3 +199,33 @@
 	}
 	return best.m
 }
+
+// hosts says whether a machine has replicas of services.
+func (l *leader) hosts(m *machine) bool {
+	for _, c := range m.copies {
+		if c.j.spec.Service() && !c.stop {
+			return true
+		}
+	}
+	return false
+}
+
+// hostSilence is how long such a machine may be silent before it is probed.
+func (l *leader) hostSilence() time.Duration {
+	return min(seconds(l.n.cfg.Cluster.Workers.ReportS*tuning.HostReports), l.silence())
+}
+
+// replaceable says whether a machine behind a suspected cut is better given up for
+// its replicas' sake: another zone is heard, so it is not this controller's own
+// network, and has places for all of them that their limits allow.
+func (l *leader) replaceable(m *machine, heard map[string]bool) bool {
+	if !slices.ContainsFunc(l.n.cfg.Cluster.Zones, func(z string) bool { return z != m.zone && heard[z] }) {
+		return false
+	}
+	for _, c := range m.copies {
+		if c.j.spec.Service() && !c.stop && l.elsewhere(c) == nil {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -294,8 +294,8 @@
 func (l *leader) exited(m *machine, c *taskCopy, t protocol.TaskReport) {
 	j := c.j
 	l.n.log.Debug("task exited", "job", j.id, "task", c.key.index, "attempt", c.key.attempt, "machine", m.id, "cause", t.Cause, "saved", t.Saved)
-	if j.spec.Service() && (t.Cause == protocol.CauseDone || t.Cause == protocol.CauseError) {
-		l.replicaEnded(c)
+	if j.spec.Service() && (t.Cause == protocol.CauseDone || t.Cause == protocol.CauseError) && l.replicaEnded(c) {
+		return
 	}
 	switch t.Cause {
 	case protocol.CauseDone, protocol.CauseStopped, protocol.CausePeers, protocol.CauseAlone:
@@ -692,13 +692,15 @@
 // tickMachines looks for workers that are silent, lapsed or dead.
 func (l *leader) tickMachines() {
 	now := l.n.now
-	suspected := l.suspectedZones()
+	suspected, _ := l.suspectedZones(l.silence())
+	var early, heard map[string]bool // the same as soon as a host may be missing
 	for _, m := range l.roster {
 		if l.n.lead != l {
 			return
 		}
 		l.showToken(m)
-		if l.booting(m) || l.recent(m) && !l.deaf(m) || now.Sub(l.since) < l.silence() {
+		missing := l.hosts(m) && m.reported && now.Sub(m.lastReport) > l.hostSilence()
+		if l.booting(m) || l.recent(m) && !l.deaf(m) && !missing || now.Sub(l.since) < l.silence() {
 			continue
 		}
 		if !m.lapsed && !l.recent(m) && now.After(l.lapseAt(m)) {
@@ -718,11 +720,26 @@
 		// on its way to a controller that carries its reports.
 		// Nor is one deaf then because it does not answer this node's calls.
 		patience, whole := l.silence(), len(l.n.links()) == len(l.n.cfg.Siblings)
+		if missing {
+			patience = l.hostSilence()
+		}
 		if !whole {
 			patience += tuning.CutPatience
 		}
-		if m.probes >= tuning.ProbesToDelete && (whole && l.deaf(m) || now.Sub(m.lastReport) > patience) && (!suspected[m.zone] || l.outwaited(m)) && !m.deleting {
-			l.delete(m, "silent")
+		if m.deleting || m.probes < tuning.ProbesToDelete || !(whole && l.deaf(m) || now.Sub(m.lastReport) > patience) {
+			continue
+		}
+		if !missing {
+			if !suspected[m.zone] || l.outwaited(m) {
+				l.delete(m, "silent")
+			}
+			continue
+		}
+		if early == nil {
+			early, heard = l.suspectedZones(l.hostSilence())
+		}
+		if !early[m.zone] || l.outwaited(m) || l.replaceable(m, heard) {
+			l.delete(m, "silent, with replicas")
 		}
 	}
 }
@@ -730,8 +747,9 @@
 // suspectedZones are those in which the network is suspected, not the machines:
 // half of a zone's machines are silent at once, or a third of all. Machines
 // behind a cut are back when it ends, with their images; what is rented in
-// their place boots, perhaps behind the same cut.
-func (l *leader) suspectedZones() map[string]bool {
+// their place boots, perhaps behind the same cut. heard are the zones most of whose
+// machines report as ever.
+func (l *leader) suspectedZones(silence time.Duration) (suspected, heard map[string]bool) {
 	type count struct{ silent, total int }
 	zones := map[string]count{}
 	var all count
@@ -742,18 +760,19 @@
 		z := zones[m.zone]
 		z.total++
 		all.total++
-		if l.deaf(m) || !l.recent(m) && l.n.now.Sub(m.lastReport) > l.silence() && l.n.now.Sub(l.since) > l.silence() {
+		if l.deaf(m) || (m.lapsed || !m.reported || l.n.now.Sub(m.lastReport) > silence) && l.n.now.Sub(l.since) > l.silence() {
 			z.silent++
 			all.silent++
 		}
 		zones[m.zone] = z
 	}
 	many := func(c count, share float64) bool { return c.silent > 2 && float64(c.silent) > share*float64(c.total) }
-	suspected := map[string]bool{}
+	suspected, heard = map[string]bool{}, map[string]bool{}
 	for name, z := range zones {
 		suspected[name] = many(z, tuning.ZoneSilentShare) || many(all, tuning.SilentShare)
+		heard[name] = z.total > 0 && float64(z.silent) < tuning.HeardSilentShare*float64(z.total)
 	}
-	return suspected
+	return suspected, heard
 }
 
 // outwaited says whether a machine behind a suspected cut has been gone for so
@@ -768,6 +787,9 @@
 	m.probing = true
 	l.call(m, "GET", protocol.PathInspect, nil, func(status int, body []byte) {
 		m.probing, m.probeAt = false, l.n.now.Add(tuning.ProbeTimeout)
+		if l.hosts(m) {
+			m.probeAt = l.n.now
+		}
 		if status != 200 {
 			m.probes++
 			return
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -150,6 +150,10 @@
 	// SilentLeast is the least such time: a worker that is not answered waits 4 s
 	// and comes to the next node a second later.
 	SilentLeast = 7 * time.Second
+	// HostReports is the same for a machine that has replicas of a service, whose
+	// users miss them at once: a little more than an interval, so that a probe is
+	// sent when one report in five is late.
+	HostReports = 1.2
 	// ProbeTimeout bounds a probe and a direct order.
 	ProbeTimeout = 1200 * time.Millisecond
 	// ProbesToDelete is the number of unanswered probes after which a silent
@@ -166,6 +170,9 @@
 	SilentShare = 0.34
 	// ZoneSilentShare is the same for one zone's machines.
 	ZoneSilentShare = 0.5
+	// HeardSilentShare is the part of a zone's machines that may be silent for the
+	// zone to be heard all the same: reports jitter by a quarter.
+	HeardSilentShare = 0.25
 	// RelayMemory is how long a follower remembers that it redirected a worker;
 	// one that comes back within it could not reach the leader and is carried.
 	RelayMemory = time.Minute
