--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 
@@ -165,3 +166,50 @@
 		t.Error("a writer where there is none")
 	}
 }
+
+// TestFirstVersionRecords: records as version 0.2 wrote them are read whole, and
+// written the same while both versions run: nothing in them is new to it.
+func TestFirstVersionRecords(t *testing.T) {
+	data, err := os.ReadFile("testdata/records-0.2.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+		key, value, _ := strings.Cut(line, " ")
+		var again json.RawMessage
+		var err error
+		switch {
+		case strings.HasPrefix(key, JobPrefix):
+			var j *Job
+			if j, err = DecodeJob(json.RawMessage(value)); err == nil {
+				again = Encode(j)
+				if j.Parts != 0 || j.Regular() != 2 {
+					t.Errorf("%s: %d parts, %d records", key, j.Parts, j.Regular())
+				}
+			}
+		case strings.HasPrefix(key, TaskPrefix):
+			again, err = through[Chunk](value)
+		case strings.HasPrefix(key, FinalPrefix):
+			again, err = through[Final](value)
+		case strings.HasPrefix(key, MachinePrefix):
+			again, err = through[Rack](value)
+		case strings.HasPrefix(key, MailPrefix):
+			again, err = through[Mail](value)
+		case key == ClaimKey:
+			again, err = through[Claim](value)
+		case key == TypesKey:
+			again, err = through[protocol.MachineTypes](value)
+		default:
+			t.Errorf("%s is no key", key)
+		}
+		if err != nil || string(again) != value {
+			t.Errorf("%s: %v\n%s\n%s", key, err, value, again)
+		}
+	}
+}
+
+func through[T any](value string) (json.RawMessage, error) {
+	var v T
+	err := json.Unmarshal([]byte(value), &v)
+	return Encode(v), err
+}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
+	"os"
 	"strings"
 	"testing"
 
@@ -264,3 +266,58 @@
 		}
 	})
 }
+
+// TestFirstVersionFrames: frames as version 0.2 wrote them read as what they said
+// and are written byte for byte the same, since that version, beside which this one
+// runs during an upgrade, cuts a link on anything else. The announcement is a frame
+// of a kind that it knows.
+func TestFirstVersionFrames(t *testing.T) {
+	data, err := os.ReadFile("testdata/frames-0.2.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kinds := map[byte]bool{}
+	for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+		_, text, _ := strings.Cut(line, " ")
+		frame, err := hex.DecodeString(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, err := ReadPeer(bytes.NewReader(frame))
+		if err != nil {
+			t.Errorf("%s: %v", line, err)
+			continue
+		}
+		kinds[m.kind()] = true
+		if got := AppendPeer(nil, m); !bytes.Equal(got, frame) {
+			t.Errorf("%T is written as %x, was %x", m, got, frame)
+		}
+	}
+	if len(kinds) != 6 || !kinds[Announcement("a").kind()] || kinds[PeerCancelled{}.kind()] {
+		t.Errorf("kinds %v", kinds)
+	}
+}
+
+// TestParseService: what a service may say and must not.
+func TestParseService(t *testing.T) {
+	service := strings.Replace(strings.Replace(goodJob, `"gang"`, `"standing"`, 1), "240.0", "0", 1)
+	field := func(name, value string) []byte {
+		i := strings.Index(service, `"`+name+`":`) + len(name) + 3
+		j := i + strings.IndexAny(service[i:], ",}")
+		return []byte(service[:i] + value + service[j:])
+	}
+	for name, values := range map[string][]string{"expect_s": {"0", "120"}, "due_s": {"null", "900"}, "snapshot_s": {"0", "30"}, "pieces": {"1", "100000"}} {
+		for _, v := range values {
+			if j, err := ParseJob(field(name, v)); err != nil || !j.Service() || j.Gang() {
+				t.Errorf("%s %s: %v", name, v, err)
+			}
+		}
+	}
+	for name, values := range map[string][]string{"expect_s": {"-1", "null"}, "pieces": {"0", "100001"}, "due_s": {"-1"}, "shape": {`"Standing"`, `"service"`}} {
+		for _, v := range values {
+			if _, err := ParseJob(field(name, v)); err == nil {
+				t.Errorf("%s %s is taken", name, v)
+			}
+		}
+	}
+}
