In an outage that all share, siblings vouch for the leader and what runs goes on

An outage longer than a leader's authority cost every running task: it gave up after some 20 s and the leases lapsed. While renewals fail it now asks all siblings, again and again, to vouch that they do not lead and to name the cancellations that they have told users of. While all of them do, its authority counts from the last question that all answered: a cancellation told before is named, and whoever leads next begins after it and counts the grace from there. A sibling that is out of reach, leads, or began its life since the leader last knew all cancellations cannot vouch; then the bound holds as before.

--- a/internal/coordination/due.go
+++ b/internal/coordination/due.go
@@ -66,7 +66,11 @@
 		by(c.renewAt)
 		fallthrough
 	default:
-		by(n.provenAt().Add(n.authority()))
+		if n.vouchedNow() {
+			by(n.vouched.at.Add(min(n.grace(), n.authority())))
+		} else {
+			by(n.provenAt().Add(n.authority()))
+		}
 	}
 }
 
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -154,6 +154,7 @@
 // tickClaim renews the claim and gives it up when its time is over.
 func (n *Node) tickClaim() {
 	c := &n.claim
+	n.tickVouching()
 	if !n.entitled() {
 		n.stepDown("not proven to lead in time")
 		return
@@ -199,7 +200,7 @@
 // renewed lately enough that a successor still counts with it, and it has known
 // all cancellations lately enough that none can be kept waiting by what it says.
 func (n *Node) entitled() bool {
-	return n.claim.term != 0 && n.now.Sub(n.provenAt()) < n.authority()
+	return n.claim.term != 0 && (n.now.Sub(n.provenAt()) < n.authority() || n.vouchedNow())
 }
 
 // acting says whether the node may command workers and write records now.
@@ -230,4 +231,5 @@
 	n.claim.term, n.claim.lease, n.claim.renewing, n.claim.unproven = 0, 0, false, false
 	n.claim.retryAt = n.now.Add(tuning.ClaimRetry + n.jitter(tuning.ClaimJitter))
 	n.lead = nil
+	n.vouched = vouching{}
 }
--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -133,6 +133,10 @@
 	rng  *rand.Rand
 	boot string
 
+	began   time.Time            // of this life
+	told    map[string]time.Time // cancellations that users were told of, and since when
+	vouched vouching
+
 	now     time.Time
 	out     []Action
 	nextID  uint64
@@ -192,6 +196,7 @@
 		pending:   map[uint64]func(int, []byte){},
 		types:     map[string]*protocol.MachineType{},
 		finals:    map[string]bookkeeping.Final{},
+		told:      map[string]time.Time{},
 		peers:     map[string]*peer{},
 		carried:   map[uint64]carried{},
 		carriedIn: map[uint64]carriedIn{},
@@ -286,7 +291,7 @@
 func (n *Node) Step(now time.Time, events []Event) []Action {
 	gap := now.Sub(n.now)
 	if n.now.IsZero() {
-		gap = 0
+		gap, n.began = 0, now
 	}
 	n.now, n.out = now, nil
 	if gap >= tuning.Standstill {
@@ -408,6 +413,7 @@
 }
 
 func (n *Node) reply(id uint64, status int, body any) {
+	n.noteTold(body)
 	n.answer(Reply{ID: id, Status: status, Body: bookkeeping.Encode(body)})
 }
 
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -224,6 +224,10 @@
 	case protocol.PeerHello:
 	case protocol.PeerStatus:
 		p.status = m
+	case protocol.PeerAsk:
+		n.vouch(from, m)
+	case protocol.PeerVouch:
+		n.vouchedFor(from, m)
 	default:
 		n.deliver(m)
 	}
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -70,11 +70,26 @@
 // goes only to a node that has announced PeerKnowsCancelled.
 type PeerCancelled struct{ Job string }
 
+// PeerAsk has a node vouch for what it has told users and for not leading. ID is
+// the asker's, and comes back.
+type PeerAsk struct{ ID uint64 }
+
+// PeerVouch answers: at the time of writing the node did not lead, had been up for
+// so long, and had told users of no cancellation that is younger than they may take
+// but these.
+type PeerVouch struct {
+	ID      uint64
+	Leads   bool
+	UpMs    uint64
+	Whole   bool // false: there were too many to name, or the node cannot say
+	Cancels []string
+}
+
 // Levels of what a node knows. A node announces its own in a form that the first
 // version, which knows none, takes for an answer to nothing and drops.
 const (
-	// PeerKnowsCancelled: PeerCancelled, and job records of more parts than their
-	// chunk says.
+	// PeerKnowsCancelled: PeerCancelled, PeerAsk and PeerVouch, and job records of
+	// more parts than their chunk says.
 	PeerKnowsCancelled = 1
 	// PeerLevel is this version's.
 	PeerLevel = PeerKnowsCancelled
@@ -112,6 +127,8 @@
 func (PeerRequest) kind() byte   { return 5 }
 func (PeerCall) kind() byte      { return 6 }
 func (PeerCancelled) kind() byte { return 7 }
+func (PeerAsk) kind() byte       { return 8 }
+func (PeerVouch) kind() byte     { return 9 }
 
 type encoder struct{ b []byte }
 
@@ -216,6 +233,17 @@
 		e.str(string(m.Body))
 	case PeerCancelled:
 		e.str(m.Job)
+	case PeerAsk:
+		e.num(m.ID)
+	case PeerVouch:
+		e.num(m.ID)
+		e.flag(m.Leads)
+		e.num(m.UpMs)
+		e.flag(m.Whole)
+		e.num(uint64(len(m.Cancels)))
+		for _, job := range m.Cancels {
+			e.str(job)
+		}
 	}
 	binary.BigEndian.PutUint32(e.b[start+4:], uint32(len(e.b)-start-peerHeader))
 	return e.b
@@ -306,6 +334,15 @@
 		m = PeerCall{ID: d.num(), Origin: d.str(), Address: d.str(), Body: []byte(d.str())}
 	case PeerCancelled{}.kind():
 		m = PeerCancelled{Job: d.str()}
+	case PeerAsk{}.kind():
+		m = PeerAsk{ID: d.num()}
+	case PeerVouch{}.kind():
+		v := PeerVouch{ID: d.num(), Leads: d.flag(), UpMs: d.num(), Whole: d.flag()}
+		n := d.count(1)
+		for i := 0; i < n && d.err == nil; i++ {
+			v.Cancels = append(v.Cancels, d.str())
+		}
+		m = v
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
 	}
--- a/internal/simulation/meetings_test.go
+++ b/internal/simulation/meetings_test.go
@@ -611,3 +611,80 @@
 	}
 	w.check(t)
 }
+
+// TestLongOutage: the state service is out for far longer than a leader's
+// authority. All controllers are there and vouch for one another, so nothing that
+// runs is lost, and what was cancelled a moment before is gone in time.
+func TestLongOutage(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		w := New(620, logs())
+		w.Run(6 * time.Second)
+		u := w.submit(0, array("run-000001", 6), 200, 0, false)
+		v := w.submit(0, array("run-000002", 2), 500, 0, false)
+		w.waitFor(t, 20*time.Second, "they run", func() bool { return w.running(u) && w.running(v) })
+		c, starts := w.leader(), w.rules.started
+		if refused {
+			w.state.refuse(c, 100*time.Second)
+			w.state.blind = c
+			// The word of the cancellation is lost: only the vouching names it.
+			w.interrupt(1500*time.Millisecond, false, func(a, b string) bool { return a == c.name && b != "state" && w.workers[b] == nil })
+			w.Run(200 * time.Millisecond)
+		}
+		for !v.over {
+			v.cancel()
+			w.Run(100 * time.Millisecond)
+		}
+		w.state.outage(80 * time.Second)
+		w.Run(85 * time.Second)
+		w.state.blind = nil
+		w.waitFor(t, 200*time.Second, "it is done", func() bool { return u.over })
+		if n := w.rules.started - starts; n > 0 {
+			t.Errorf("refused %v: %d tasks were started again", refused, n)
+		}
+		w.check(t)
+	}
+}
+
+// TestVouchedByAnotherLife: a sibling confirms a cancellation that the leader does
+// not hear of, ends, and is back in an outage that all share. It can't vouch for its
+// earlier life: the leader gives up within its authority, and the cancelled tasks
+// are gone in time.
+func TestVouchedByAnotherLife(t *testing.T) {
+	for seed := range uint64(4) {
+		w := New(630+seed, logs())
+		w.Run(6 * time.Second)
+		u := w.submit(0, array("run-000001", 6), 500, 0, false)
+		w.waitFor(t, 20*time.Second, "it runs", func() bool { return w.running(u) })
+		c := w.leader()
+		w.state.blind = c
+		w.Run(400 * time.Millisecond)
+		var s *controller
+		for _, o := range w.nodes {
+			if o != c {
+				s = o
+			}
+		}
+		cutOff := &cut{match: func(a, b string) bool { return a == s.name && b == c.name }}
+		w.cuts = append(w.cuts, cutOff)
+		status := 0
+		u.asked = true
+		for status != 200 {
+			s.ask(func(id uint64) coordination.Event { return coordination.Cancel{ID: id, Job: u.j.spec.ID} }, func(got int, body []byte) {
+				if status = got; got == 200 && !u.over {
+					u.hear(body)
+				}
+			})
+			w.Run(30 * time.Millisecond)
+		}
+		w.state.outage(100 * time.Second)
+		s.crash(200 * time.Millisecond)
+		w.Run(100 * time.Millisecond)
+		w.mend(cutOff)
+		w.Run(60 * time.Second)
+		if c.node.Leading() {
+			t.Errorf("seed %d: it still leads", seed)
+		}
+		w.Run(60 * time.Second)
+		w.check(t)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -33,6 +33,13 @@
 	// time a cancellation may take: whoever tells the user may have read another
 	// clock, and the worker's last answer was on its way.
 	CancelMargin = 3 * time.Second
+	// VouchAfter is how long a leader must be without proof to ask its siblings to
+	// vouch for it: a few renewals have failed.
+	VouchAfter = 2500 * time.Millisecond
+	// VouchEvery is how often it asks: many times within its grace.
+	VouchEvery = time.Second
+	// VouchMost is the largest number of cancellations that a word may name.
+	VouchMost = 4000
 	// KnownFor is how old a leader's knowledge of the records may be before it asks
 	// the state service how far they have come: with every renewal at most.
 	KnownFor = ClaimRenew
