A sibling's word names its term; looking ahead uses the ordinary connections; lists in frames

From the reading of the whole change: a sibling that still leads under an older term made the rightful leader step down when it was asked to vouch; the look at how far the records have come opened a connection beside the one kept for renewals; a repeated submission of a description that no longer fits was refused before it was looked up.

--- a/internal/coordination/node.go
+++ b/internal/coordination/node.go
@@ -486,7 +486,7 @@
 func (n *Node) lookAhead() {
 	sent := n.now
 	txn := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.ClaimKey, Stamp: n.claim.term}}}
-	n.stateOn(ToClaim, "POST", protocol.PathTxn, txn, func(status int, body []byte) {
+	n.state("POST", protocol.PathTxn, txn, func(status int, body []byte) {
 		if a, ok := parse[protocol.TxnAnswer](body); ok && (status == 200 || status == 409) && a.Revision != 0 {
 			n.sighted(sighting{a.Revision, sent})
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -23,6 +23,9 @@
 
 // impossible says why a job can never run, or "".
 func (n *Node) impossible(j *protocol.Job) string {
+	if !bookkeeping.Storable(n.cfg.Cluster.State.ValueKB, j) {
+		return "its description is too long to be kept"
+	}
 	for i := range n.cfg.Cluster.Teams {
 		t := &n.cfg.Cluster.Teams[i]
 		if t.Name != j.Team {
@@ -94,10 +97,6 @@
 		return
 	}
 	state := n.cfg.Cluster.State
-	if !bookkeeping.Storable(state.ValueKB, j) {
-		n.reply(id, 400, protocol.ErrorBody{Error: "the description is too long"})
-		return
-	}
 	rec := bookkeeping.Job{Writer: n.unique(), Spec: j, AtMs: n.now.UnixMilli(), Chunk: bookkeeping.ChunkSize(state.ValueKB, state.TxnOps, j)}
 	txn := bookkeeping.Encode(protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}, {Key: bookkeeping.FinalKey(j.ID)}},
--- a/internal/coordination/vouch.go
+++ b/internal/coordination/vouch.go
@@ -78,7 +78,7 @@
 
 // vouch answers a leader's question.
 func (n *Node) vouch(from string, ask protocol.PeerAsk) {
-	m := protocol.PeerVouch{ID: ask.ID, Leads: n.claim.term != 0, UpMs: uint64(n.now.Sub(n.began).Milliseconds())}
+	m := protocol.PeerVouch{ID: ask.ID, Term: n.claim.term, UpMs: uint64(n.now.Sub(n.began).Milliseconds())}
 	n.forgetTold()
 	for job := range n.told {
 		m.Cancels = append(m.Cancels, job)
@@ -96,7 +96,7 @@
 	if n.lead == nil || m.ID != v.askedID {
 		return // an old one, perhaps held back
 	}
-	if m.Leads {
+	if m.Term > n.claim.term {
 		n.stepDown("a sibling leads")
 		return
 	}
@@ -105,7 +105,7 @@
 	}
 	// What an earlier life of it told users since this node last knew is not named.
 	up := time.Duration(m.UpMs) * time.Millisecond
-	if !m.Whole || n.now.Add(-up+time.Duration(float64(up)*tuning.ClockDrift)).After(n.known) {
+	if m.Term != 0 || !m.Whole || n.now.Add(-up+time.Duration(float64(up)*tuning.ClockDrift)).After(n.known) {
 		return
 	}
 	v.have[from] = true
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -74,12 +74,12 @@
 // the asker's, and comes back.
 type PeerAsk struct{ ID uint64 }
 
-// PeerVouch answers: at the time of writing the node did not lead, had been up for
-// so long, and had told users of no cancellation that is younger than they may take
-// but these.
+// PeerVouch answers: at the time of writing the node led under that term, or not if
+// it is 0, had been up for so long, and had told users of no cancellation that is
+// younger than they may take but these.
 type PeerVouch struct {
 	ID      uint64
-	Leads   bool
+	Term    uint64
 	UpMs    uint64
 	Whole   bool // false: there were too many to name, or the node cannot say
 	Cancels []string
@@ -191,6 +191,21 @@
 	return int(n)
 }
 
+func (e *encoder) strs(list []string) {
+	e.num(uint64(len(list)))
+	for _, s := range list {
+		e.str(s)
+	}
+}
+
+func (d *decoder) strs() (list []string) {
+	n := d.count(1)
+	for i := 0; i < n && d.err == nil; i++ {
+		list = append(list, d.str())
+	}
+	return list
+}
+
 // AppendPeer appends the message's frame to b.
 func AppendPeer(b []byte, m PeerMessage) []byte {
 	start := len(b)
@@ -202,10 +217,7 @@
 		e.num(m.Term)
 		e.str(m.Leader)
 		e.flag(m.StateOK)
-		e.num(uint64(len(m.Links)))
-		for _, l := range m.Links {
-			e.str(l)
-		}
+		e.strs(m.Links)
 		e.num(m.Keeps)
 	case PeerReport:
 		e.num(m.ID)
@@ -237,13 +249,10 @@
 		e.num(m.ID)
 	case PeerVouch:
 		e.num(m.ID)
-		e.flag(m.Leads)
+		e.num(m.Term)
 		e.num(m.UpMs)
 		e.flag(m.Whole)
-		e.num(uint64(len(m.Cancels)))
-		for _, job := range m.Cancels {
-			e.str(job)
-		}
+		e.strs(m.Cancels)
 	}
 	binary.BigEndian.PutUint32(e.b[start+4:], uint32(len(e.b)-start-peerHeader))
 	return e.b
@@ -317,13 +326,7 @@
 	case PeerHello{}.kind():
 		m = PeerHello{Node: d.str()}
 	case PeerStatus{}.kind():
-		s := PeerStatus{Term: d.num(), Leader: d.str(), StateOK: d.flag()}
-		n := d.count(1)
-		for i := 0; i < n && d.err == nil; i++ {
-			s.Links = append(s.Links, d.str())
-		}
-		s.Keeps = d.num()
-		m = s
+		m = PeerStatus{Term: d.num(), Leader: d.str(), StateOK: d.flag(), Links: d.strs(), Keeps: d.num()}
 	case PeerReport{}.kind():
 		m = PeerReport{ID: d.num(), Origin: d.str(), Target: d.str(), Hops: d.num(), Report: d.report()}
 	case PeerAnswer{}.kind():
@@ -337,12 +340,7 @@
 	case PeerAsk{}.kind():
 		m = PeerAsk{ID: d.num()}
 	case PeerVouch{}.kind():
-		v := PeerVouch{ID: d.num(), Leads: d.flag(), UpMs: d.num(), Whole: d.flag()}
-		n := d.count(1)
-		for i := 0; i < n && d.err == nil; i++ {
-			v.Cancels = append(v.Cancels, d.str())
-		}
-		m = v
+		m = PeerVouch{ID: d.num(), Term: d.num(), UpMs: d.num(), Whole: d.flag(), Cancels: d.strs()}
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
 	}
--- a/internal/simulation/meetings_test.go
+++ b/internal/simulation/meetings_test.go
@@ -540,6 +540,18 @@
 	w.atEnd, w.close, w.cloud.quick = 0, false, false
 	w.calm = w.Now
 	w.left()
+	w.end()
+	if w.rules.started == 0 {
+		t.Errorf("seed %d: nothing ran", seed)
+	}
+	for _, f := range w.rules.failures {
+		t.Errorf("seed %d: %s", seed, f)
+	}
+	return w.rules.late
+}
+
+// end lets a day come to its end: every job but a mistaken one must be over.
+func (w *World) end() {
 	for end := w.Now.Add(600 * time.Second); w.Now.Before(end) && !w.over(); {
 		w.Run(5 * time.Second)
 	}
@@ -548,13 +560,6 @@
 			w.rules.broken("liveness", "%s %s of %d tasks is still %q: done %v", u.j.spec.ID, u.j.spec.Shape, u.j.spec.Tasks, u.phase, u.j.done)
 		}
 	}
-	if w.rules.started == 0 {
-		t.Errorf("seed %d: nothing ran", seed)
-	}
-	for _, f := range w.rules.failures {
-		t.Errorf("seed %d: %s", seed, f)
-	}
-	return w.rules.late
 }
 
 // TestGap: the leader's watches hang while its renewals pass, others confirm
