--- a/internal/coordination/fleet_size_test.go
+++ b/internal/coordination/fleet_size_test.go
@@ -287,7 +287,7 @@
 			t.Fatalf("a report is answered %d meanwhile", r.Status)
 		}
 	}
-	out = n.Step(n.now.Add(10*time.Millisecond), []Event{Response{ID: renewal.ID, Status: 200, Body: []byte(`{}`)}})
+	n.Step(n.now.Add(10*time.Millisecond), []Event{Response{ID: renewal.ID, Status: 200, Body: []byte(`{}`)}})
 	if !n.Leading() || !n.acting() || n.lead.planAt != (time.Time{}) {
 		t.Fatalf("leads %v, planned at %v", n.Leading(), n.lead.planAt)
 	}
