--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -177,7 +177,7 @@
 		if !b.fits(2, 2, 400) {
 			return
 		}
-		b.guard(bookkeeping.JobKey(j.id), j.stamps[0])
+		b.guard(bookkeeping.JobKey(j.id), j.revisions[0])
 		b.guard(bookkeeping.FinalKey(j.id), 0)
 		b.set(bookkeeping.FinalKey(j.id), bookkeeping.Encode(f))
 		b.remove(bookkeeping.JobKey(j.id))
@@ -187,7 +187,7 @@
 		return
 	}
 	w := &jobWrite{j: j}
-	if parts := b.l.partsToWrite(j); parts != nil {
+	if parts := b.l.splitRecords(j); parts != nil {
 		b.addParts(w, parts)
 	} else {
 		b.addRecords(w)
@@ -269,7 +269,7 @@
 		if p.record > 0 {
 			key = bookkeeping.ChunkKey(j.id, p.record)
 		}
-		b.guard(key, j.stamps[p.record])
+		b.guard(key, j.revisions[p.record])
 		b.set(key, p.value)
 		for _, c := range p.copies {
 			if c.m.rack != nil {
@@ -340,7 +340,7 @@
 // record lists the tasks of one of the job's records and the copies that it
 // places.
 func (j *job) record(r int) (tasks []bookkeeping.Task, copies []*taskCopy) {
-	for _, i := range j.members(r) {
+	for _, i := range j.tasksOf(r) {
 		t := &j.tasks[i]
 		if t.attempt == 0 && !t.done {
 			continue
@@ -365,8 +365,8 @@
 		}
 	}
 	parts := 0
-	if len(j.further) > 0 {
-		parts = len(j.stamps)
+	if len(j.extraParts) > 0 {
+		parts = len(j.revisions)
 	}
 	return bookkeeping.Job{Writer: writer, Spec: j.spec, AtMs: j.at.UnixMilli(), Seq: j.seq, Attempt: j.attempt,
 		Cancelled: j.cancelled, Done: j.done, Placed: placed, Chunk: j.chunk, Parts: parts, Tasks: tasks}
@@ -455,8 +455,8 @@
 			continue
 		}
 		for _, r := range w.records {
-			j.stamps[r] = max(j.stamps[r], revision)
-			delete(j.unborn, r)
+			j.revisions[r] = max(j.revisions[r], revision)
+			delete(j.newParts, r)
 		}
 		for _, c := range w.copies {
 			if j.copies[c.key] != c {
@@ -485,8 +485,8 @@
 	clear(j.dirty)
 	delete(l.jobs, j.id)
 	l.n.keepFinal(j.id, f)
-	for r := 1; r < len(j.stamps); r++ {
-		if j.stamps[r] != 0 {
+	for r := 1; r < len(j.revisions); r++ {
+		if j.revisions[r] != 0 {
 			l.cleanup = append(l.cleanup, bookkeeping.ChunkKey(j.id, r))
 		}
 	}
@@ -554,8 +554,8 @@
 			}
 		}
 		if id, n, ok := bookkeeping.SplitChunkKey(key); ok {
-			if j := l.jobs[id]; j != nil && n < len(j.stamps) {
-				j.stamps[n] = e.Stamp
+			if j := l.jobs[id]; j != nil && n < len(j.revisions) {
+				j.revisions[n] = e.Stamp
 			}
 			return
 		}
--- a/internal/coordination/fences_test.go
+++ b/internal/coordination/fences_test.go
@@ -147,7 +147,7 @@
 	s := gangOf(2, 1)
 	s.Shape = shape
 	j := l.testJob(s)
-	stamp := j.stamps[0]
+	stamp := j.revisions[0]
 	if !place(l, j) {
 		t.Fatal("not placed")
 	}
@@ -191,8 +191,8 @@
 	read := l.n.lastRequest(t, ToState)
 	rec := bookkeeping.Job{Writer: "another", Spec: j.spec, Chunk: 60, Seq: j.seq, Cancelled: true}
 	l.n.handle(Response{ID: read.ID, Status: 200, Body: bookkeeping.Encode(protocol.Entry{Key: bookkeeping.JobKey(j.id), Value: bookkeeping.Encode(rec), Stamp: 50})})
-	if !j.cancelled || j.stamps[0] != 50 || j.finalPhase() != protocol.PhaseCancelled {
-		t.Errorf("cancelled %v at revision %d", j.cancelled, j.stamps[0])
+	if !j.cancelled || j.revisions[0] != 50 || j.finalPhase() != protocol.PhaseCancelled {
+		t.Errorf("cancelled %v at revision %d", j.cancelled, j.revisions[0])
 	}
 }
 
@@ -366,8 +366,8 @@
 	}
 	last := txn.Then[len(txn.Then)-1]
 	l.changed(&protocol.WatchEvent{Set: last.Set, Value: last.Value, Stamp: 44})
-	if c := j.list()[0]; !c.committed || j.stamps[0] != 44 || l.inFlight != nil {
-		t.Fatalf("committed %v at revision %d", c.committed, j.stamps[0])
+	if c := j.list()[0]; !c.committed || j.revisions[0] != 44 || l.inFlight != nil {
+		t.Fatalf("committed %v at revision %d", c.committed, j.revisions[0])
 	}
 	l.n.handle(Response{ID: sent.ID, Status: 409, Body: bookkeeping.Encode(protocol.TxnAnswer{Failed: []string{last.Set}})})
 	if len(j.copies) != 1 {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -26,23 +26,23 @@
 	teams    map[string]*team
 	waiting  int
 
-	dirty     []*job   // jobs with unwritten changes, in the order they came
-	racks     []*rack  // the machines' room records
-	cleanup   []string // keys to delete when there is time
-	inFlight  *commit
-	commitAt  time.Time
-	hurried   []*machine    // have orders that should not wait for a report
-	calls     *rate.Limiter // calls to workers: direct orders and probes
-	calling   int           // calls to workers under way
-	spreading bool          // the siblings answer a part of the workers
-	plan      bool          // something changed that placement may depend on
-	planAt    time.Time
-	pass      *pass     // the pass over the queue under way, nil between two
-	looks     int       // machines looked at in the last pass
-	watchAt   time.Time // when the machines are looked over again
-	fleet     fleet
-	narrowed  bool // all records that had outgrown the limits were found
-	besideGPU room // what work on GPUs needs beside each of them
+	dirty         []*job   // jobs with unwritten changes, in the order they came
+	racks         []*rack  // the machines' room records
+	cleanup       []string // keys to delete when there is time
+	inFlight      *commit
+	commitAt      time.Time
+	hurried       []*machine    // have orders that should not wait for a report
+	calls         *rate.Limiter // calls to workers: direct orders and probes
+	calling       int           // calls to workers under way
+	spreading     bool          // the siblings answer a part of the workers
+	plan          bool          // something changed that placement may depend on
+	planAt        time.Time
+	pass          *pass     // the pass over the queue under way, nil between two
+	looks         int       // machines looked at in the last pass
+	watchAt       time.Time // when the machines are looked over again
+	fleet         fleet
+	splitSearched bool // all records that had outgrown the limits were found
+	besideGPU     room // what work on GPUs needs beside each of them
 	// when a job last came, and one that may not use spot machines
 	lastJob, lastOrdinary time.Time
 }
@@ -56,23 +56,23 @@
 
 // job is an unfinished job.
 type job struct {
-	id        string
-	spec      *protocol.Job
-	rank      protocol.Rank
-	seq       uint64
-	at        time.Time
-	startBy   []time.Time // an array must start by then to meet its deadline and its class's aims
-	begun     bool        // a task of it has had a place
-	attempt   uint64      // the gang's epoch
-	cancelled bool
-	chunk     int
-	tasks     []task
-	done      int
-	stamps    []uint64    // revision of every record, the first is the job's own
-	moved     map[int]int // tasks that are not in the record that the chunk says
-	further   [][]int     // the tasks of the records beyond those
-	unborn    map[int]int // records split off that are yet to be written, and from which
-	specBytes int         // of the description in the first record
+	id         string
+	spec       *protocol.Job
+	rank       protocol.Rank
+	seq        uint64
+	at         time.Time
+	startBy    []time.Time // an array must start by then to meet its deadline and its class's aims
+	begun      bool        // a task of it has had a place
+	attempt    uint64      // the gang's epoch
+	cancelled  bool
+	chunk      int
+	tasks      []task
+	done       int
+	revisions  []uint64    // revision of every record, the first is the job's own
+	moved      map[int]int // tasks that are not in the record that the chunk says
+	extraParts [][]int     // the tasks of the records beyond those
+	newParts   map[int]int // records split off that are yet to be written, and from which
+	specSize   int         // of the description in the first record
 
 	copies     map[copyKey]*taskCopy
 	dirty      map[int]bool // records that must be written
@@ -169,7 +169,7 @@
 	n.mirror.Each(bookkeeping.TaskPrefix, func(e protocol.Entry) {
 		id, num, ok := bookkeeping.SplitChunkKey(e.Key)
 		j := l.jobs[id]
-		if !ok || j == nil || num >= len(j.stamps) {
+		if !ok || j == nil || num >= len(j.revisions) {
 			l.cleanup = append(l.cleanup, e.Key) // left by a finished job
 			return
 		}
@@ -178,7 +178,7 @@
 			n.log.Error("task record does not parse", "key", e.Key)
 			return
 		}
-		j.stamps[num] = e.Stamp
+		j.revisions[num] = e.Stamp
 		l.addTasks(j, num, c.Tasks)
 	})
 	slices.Sort(l.cleanup)
@@ -278,17 +278,17 @@
 	j := &job{
 		id: s.ID, spec: s, rank: s.Rank(), seq: rec.Seq, at: time.UnixMilli(rec.AtMs),
 		attempt: rec.Attempt, cancelled: rec.Cancelled, chunk: rec.Chunk,
-		tasks:  make([]task, s.Tasks),
-		stamps: make([]uint64, max(rec.Regular(), rec.Parts)),
-		copies: map[copyKey]*taskCopy{}, dirty: map[int]bool{},
+		tasks:     make([]task, s.Tasks),
+		revisions: make([]uint64, max(rec.Regular(), rec.Parts)),
+		copies:    map[copyKey]*taskCopy{}, dirty: map[int]bool{},
 		failures: map[string]bool{}, avoid: map[string]time.Time{},
 		waits: l.n.now,
 	}
 	if j.seq == 0 {
 		j.seq = stamp // never written since its submission
 	}
-	j.stamps[0] = stamp
-	j.further = make([][]int, len(j.stamps)-rec.Regular())
+	j.revisions[0] = stamp
+	j.extraParts = make([][]int, len(j.revisions)-rec.Regular())
 	j.startBy = l.startTimes(j)
 	l.n.log.Debug("job", "job", j.id, "class", s.Class, "shape", s.Shape, "tasks", s.Tasks, "gpus", s.GPUs, "team", s.Team, "estimate", s.EstimateS, "deadline", s.DeadlineS, "age", l.n.now.Sub(j.at).Seconds())
 	l.jobs[j.id] = j
@@ -306,7 +306,7 @@
 		if t.Index < 0 || t.Index >= len(j.tasks) {
 			continue
 		}
-		if record >= j.regular() {
+		if record >= j.baseRecords() {
 			j.move(t.Index, record)
 		}
 		jt := &j.tasks[t.Index]
@@ -518,7 +518,7 @@
 		return
 	}
 	j := l.jobs[id]
-	if j != nil && ev.Stamp <= j.stamps[0] {
+	if j != nil && ev.Stamp <= j.revisions[0] {
 		return
 	}
 	if j != nil && l.inFlight != nil && bookkeeping.Writer(ev.Value) == l.inFlight.writer {
@@ -540,7 +540,7 @@
 
 // merge takes what a sibling may have written: a cancellation.
 func (l *leader) merge(j *job, rec *bookkeeping.Job, stamp uint64) {
-	j.stamps[0] = max(j.stamps[0], stamp)
+	j.revisions[0] = max(j.revisions[0], stamp)
 	if rec.Cancelled {
 		l.cancelJob(j)
 	}
@@ -577,7 +577,7 @@
 		l.schedule()
 		l.planAt = l.n.now.Add(l.planPause())
 	}
-	l.narrow()
+	l.splitOutgrown()
 	l.commitNext()
 	l.sendDirect()
 }
--- a/internal/coordination/parts.go
+++ b/internal/coordination/parts.go
@@ -15,8 +15,8 @@
 // further record, whose tasks are named in it; both and the job's own record, which
 // has the number of all, are written by one guarded transaction.
 
-// regular is the number of records that the chunk says.
-func (j *job) regular() int { return len(j.stamps) - len(j.further) }
+// baseRecords is the number of records that the chunk says.
+func (j *job) baseRecords() int { return len(j.revisions) - len(j.extraParts) }
 
 // recordOf is the record that a task is in.
 func (j *job) recordOf(index int) int {
@@ -26,10 +26,10 @@
 	return index / j.chunk
 }
 
-// members lists a record's tasks in order.
-func (j *job) members(r int) []int {
-	if r >= j.regular() {
-		return j.further[r-j.regular()]
+// tasksOf lists a record's tasks in order.
+func (j *job) tasksOf(r int) []int {
+	if r >= j.baseRecords() {
+		return j.extraParts[r-j.baseRecords()]
 	}
 	list := make([]int, 0, j.chunk)
 	for i := r * j.chunk; i < min((r+1)*j.chunk, len(j.tasks)); i++ {
@@ -47,44 +47,44 @@
 		if old == r {
 			return
 		}
-		list := &j.further[old-j.regular()]
+		list := &j.extraParts[old-j.baseRecords()]
 		*list = slices.DeleteFunc(*list, func(i int) bool { return i == index })
 	}
 	if j.moved == nil {
 		j.moved = map[int]int{}
 	}
 	j.moved[index] = r
-	list := &j.further[r-j.regular()]
+	list := &j.extraParts[r-j.baseRecords()]
 	at, _ := slices.BinarySearch(*list, index)
 	*list = slices.Insert(*list, at, index)
 }
 
 // split gives half of a record's tasks to a new one.
 func (j *job) split(r int) (part int) {
-	list := slices.Clone(j.members(r))
-	part = len(j.stamps)
-	j.stamps = append(j.stamps, 0)
-	j.further = append(j.further, nil)
+	list := slices.Clone(j.tasksOf(r))
+	part = len(j.revisions)
+	j.revisions = append(j.revisions, 0)
+	j.extraParts = append(j.extraParts, nil)
 	for _, i := range list[(len(list)+1)/2:] {
 		j.move(i, part)
 	}
-	if j.unborn == nil {
-		j.unborn = map[int]int{}
+	if j.newParts == nil {
+		j.newParts = map[int]int{}
 	}
-	j.unborn[part] = r
+	j.newParts[part] = r
 	return part
 }
 
-// mayNarrow says whether records may be written that the first version does not
+// maySplit says whether records may be written that the first version does not
 // read whole, because all controllers know them, or because the state service has
 // lowered its limits, which it does only then. Until then its present limits hold.
-func (l *leader) mayNarrow() bool {
+func (l *leader) maySplit() bool {
 	return l.n.lowered || l.n.allKnow(protocol.PeerKnowsCancelled)
 }
 
 // limits are those that a record must keep within now.
 func (l *leader) limits() config.State {
-	if l.mayNarrow() {
+	if l.maySplit() {
 		return l.n.cfg.Cluster.State
 	}
 	return l.n.cfg.Cluster.StateNow()
@@ -92,7 +92,7 @@
 
 // outgrown says whether a record must be split before it is written.
 func (l *leader) outgrown(j *job, r int, limits config.State) bool {
-	list := j.members(r)
+	list := j.tasksOf(r)
 	if len(list) < 2 {
 		return false
 	}
@@ -101,10 +101,10 @@
 	}
 	room := int(limits.ValueKB * 1024)
 	if r == 0 {
-		if j.specBytes == 0 {
-			j.specBytes = len(bookkeeping.Encode(j.spec))
+		if j.specSize == 0 {
+			j.specSize = len(bookkeeping.Encode(j.spec))
 		}
-		room -= j.specBytes
+		room -= j.specSize
 	}
 	if len(list)*tuning.TaskBytes+tuning.HeaderBytes <= room {
 		return false // with entries of any size
@@ -113,11 +113,11 @@
 	return len(bookkeeping.Encode(tasks))+tuning.HeaderBytes > room
 }
 
-// partsToWrite lists the records of a job that must be written together because one
+// splitRecords lists the records of a job that must be written together because one
 // of them is being split, the job's own last; nil if none is.
-func (l *leader) partsToWrite(j *job) []int {
+func (l *leader) splitRecords(j *job) []int {
 	limits := l.limits()
-	if len(j.unborn) == 0 && l.mayNarrow() {
+	if len(j.newParts) == 0 && l.maySplit() {
 		var dirty []int
 		for r := range j.dirty {
 			dirty = append(dirty, r)
@@ -130,15 +130,15 @@
 			}
 		}
 	}
-	if len(j.unborn) == 0 {
+	if len(j.newParts) == 0 {
 		return nil
 	}
 	// The job's own record, which is always written, may have outgrown them too.
-	if _, splits := j.unborn[0]; !splits && l.outgrown(j, 0, limits) {
+	if _, splits := j.newParts[0]; !splits && l.outgrown(j, 0, limits) {
 		l.splitUp(j, 0, limits)
 	}
 	var list []int
-	for part, source := range j.unborn {
+	for part, source := range j.newParts {
 		list = append(list, part, source)
 	}
 	slices.Sort(list)
@@ -150,24 +150,24 @@
 // transaction can write them. Of a gang's parts the rest may be split in the next.
 func (l *leader) splitUp(j *job, r int, limits config.State) {
 	open := []int{r}
-	for len(open) > 0 && len(j.unborn) < limits.TxnOps-2 {
+	for len(open) > 0 && len(j.newParts) < limits.TxnOps-2 {
 		r := open[0]
 		open = open[1:]
 		if l.outgrown(j, r, limits) {
 			open = append(open, r, j.split(r))
 		}
 	}
-	l.n.log.Info("record split", "job", j.id, "record", r, "records", len(j.stamps))
+	l.n.log.Info("record split", "job", j.id, "record", r, "records", len(j.revisions))
 }
 
 // splitFirst says whether a gang has a record that must be split before its places
 // are written, and sees to it.
 func (l *leader) splitFirst(j *job) bool {
-	if !l.mayNarrow() || j.chunk <= bookkeeping.GangChunk(l.n.cfg.Cluster.State.TxnOps) {
+	if !l.maySplit() || j.chunk <= bookkeeping.GangChunk(l.n.cfg.Cluster.State.TxnOps) {
 		return false
 	}
-	first := len(j.unborn) > 0
-	for r := range j.stamps {
+	first := len(j.newParts) > 0
+	for r := range j.revisions {
 		if l.outgrown(j, r, l.n.cfg.Cluster.State) {
 			l.touch(j, r)
 			first = true
@@ -176,16 +176,16 @@
 	return first
 }
 
-// narrow has all records that have outgrown the limits split, once they may be:
+// splitOutgrown has all records that have outgrown the limits split, once they may be:
 // nobody knows when the limits are lowered, and a sibling that marks a job as
 // cancelled writes its first record as it is.
-func (l *leader) narrow() {
-	if l.narrowed || !l.mayNarrow() {
+func (l *leader) splitOutgrown() {
+	if l.splitSearched || !l.maySplit() {
 		return
 	}
-	l.narrowed = true
+	l.splitSearched = true
 	for _, j := range l.ordered() {
-		for r := range j.stamps {
+		for r := range j.revisions {
 			if l.outgrown(j, r, l.n.cfg.Cluster.State) {
 				l.touch(j, r)
 			}
--- a/internal/coordination/parts_test.go
+++ b/internal/coordination/parts_test.go
@@ -66,7 +66,7 @@
 	}
 	l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: 20})})
 	l.n.handle(PeerReceive{Peer: "s", Link: 1, Message: protocol.Announcement("n")})
-	l.narrow()
+	l.splitOutgrown()
 	l.commitLater(tuning.MarkLate + time.Second)
 	txn, r = l.sentTxn(t)
 	if len(txn.Then) < 2 || len(txn.Then) > 4 || txn.Then[len(txn.Then)-1].Set != bookkeeping.JobKey(j.id) {
@@ -89,8 +89,8 @@
 			t.Fatal(err)
 		}
 		_, num, _ := bookkeeping.SplitChunkKey(c.Set)
-		if num >= len(again.stamps) {
-			t.Fatalf("%s is not among the %d records", c.Set, len(again.stamps))
+		if num >= len(again.revisions) {
+			t.Fatalf("%s is not among the %d records", c.Set, len(again.revisions))
 		}
 		next.addTasks(again, num, chunk.Tasks)
 	}
