--- a/cmd/gappond/main.go
+++ b/cmd/gappond/main.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: sound: node %s in %s, %d siblings, %d teams\n", c.Config, cfg.Name, cfg.Zone, len(cfg.Siblings), len(cfg.Cluster.Teams))
+	fmt.Printf("%s: sound: node %s in %s, %d siblings, %d teams\n", c.Config, cfg.Name, cfg.Zone, len(cfg.Peers), len(cfg.Cluster.Teams))
 	for _, key := range config.Keys() {
 		fmt.Printf("%s = %s  # %s\n", key, cfg.Value(key), config.Doc(key))
 	}
--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -19,13 +19,13 @@
 			spec.Image += "x"
 		}
 		spec.Image = spec.Image[1:]
-		size := ChunkSize(kb, 12, spec)
+		size := TasksPerRecord(kb, 12, spec)
 		var tasks []Task
 		for i := range size {
 			tasks = append(tasks, Task{Index: 90_000 + i, Attempt: 99_999, Machine: "i-000000000231", Session: 9_999, Done: false})
 		}
 		rec := Job{Writer: strings.Repeat("w", 40), Spec: spec, AtMs: 1 << 50, Seq: 1 << 60, Attempt: 1 << 30, Cancelled: true,
-			Done: protocol.MaxTasks, Placed: protocol.MaxTasks, Chunk: size, Tasks: tasks}
+			Done: protocol.MaxTasks, Placed: protocol.MaxTasks, RecordTasks: size, Tasks: tasks}
 		if n := len(Encode(rec)); n > int(kb*1024) {
 			t.Errorf("%v KiB: a record of %d bytes", kb, n)
 		}
@@ -33,19 +33,19 @@
 }
 
 func TestChunkKeys(t *testing.T) {
-	id, n, ok := SplitChunkKey(ChunkKey("run-1", 12))
+	id, n, ok := ParseTaskRecordKey(TaskRecordKey("run-1", 12))
 	if id != "run-1" || n != 12 || !ok {
 		t.Errorf("%s %d %v", id, n, ok)
 	}
 	for _, bad := range []string{"g/t/run-1", "g/t/run-1/x", "g/t/run-1/0", "g/j/run-1"} {
-		if _, _, ok := SplitChunkKey(bad); ok {
+		if _, _, ok := ParseTaskRecordKey(bad); ok {
 			t.Errorf("%s is taken", bad)
 		}
 	}
 }
 
 func entry(key string, stamp uint64) protocol.Entry {
-	return protocol.Entry{Key: key, Value: []byte(fmt.Sprint(stamp)), Stamp: stamp}
+	return protocol.Entry{Key: key, Value: []byte(fmt.Sprint(stamp)), Revision: stamp}
 }
 
 // TestMirrorBetweenPages: what changes while the pages are read is neither
@@ -68,22 +68,22 @@
 		ev   protocol.WatchEvent
 		took bool
 	}{
-		{protocol.WatchEvent{Set: "g/c", Stamp: 105}, false},
-		{protocol.WatchEvent{Set: "g/c", Stamp: 107}, false},
-		{protocol.WatchEvent{Delete: "g/a", Stamp: 108}, true},
-		{protocol.WatchEvent{Delete: "g/x", Stamp: 109}, false},
-		{protocol.WatchEvent{Set: "g/a", Value: []byte("9"), Stamp: 111}, true},
+		{protocol.WatchEvent{Set: "g/c", Revision: 105}, false},
+		{protocol.WatchEvent{Set: "g/c", Revision: 107}, false},
+		{protocol.WatchEvent{Delete: "g/a", Revision: 108}, true},
+		{protocol.WatchEvent{Delete: "g/x", Revision: 109}, false},
+		{protocol.WatchEvent{Set: "g/a", Value: []byte("9"), Revision: 111}, true},
 	}
 	for i, s := range steps {
 		if got := m.Apply(&s.ev); got != s.took {
 			t.Errorf("step %d: taken %v", i, got)
 		}
 	}
-	if e, _ := m.Get("g/c"); e.Stamp != 107 {
-		t.Errorf("g/c at %d", e.Stamp)
+	if e, _ := m.Get("g/c"); e.Revision != 107 {
+		t.Errorf("g/c at %d", e.Revision)
 	}
-	if e, ok := m.Get("g/a"); !ok || e.Stamp != 111 {
-		t.Errorf("g/a at %d", e.Stamp)
+	if e, ok := m.Get("g/a"); !ok || e.Revision != 111 {
+		t.Errorf("g/a at %d", e.Revision)
 	}
 }
 
@@ -145,9 +145,9 @@
 		{ID: "run-1", Phase: protocol.PhaseRunning, Done: 1, Running: 2},
 		{ID: "run-1", Phase: protocol.PhaseCancelled, Done: 1},
 	} {
-		rec := Job{Writer: "w-1", Spec: &protocol.Job{ID: "run-1", Tasks: 3}, Chunk: 9, Done: want.Done, Placed: want.Running, Cancelled: want.Phase == protocol.PhaseCancelled}
+		rec := Job{Writer: "w-1", Spec: &protocol.Job{ID: "run-1", Tasks: 3}, RecordTasks: 9, Done: want.Done, Placed: want.Running, Cancelled: want.Phase == protocol.PhaseCancelled}
 		value := Encode(rec)
-		m.Apply(&protocol.WatchEvent{Set: key, Value: value, Stamp: uint64(stamp + 2)})
+		m.Apply(&protocol.WatchEvent{Set: key, Value: value, Revision: uint64(stamp + 2)})
 		for range 2 {
 			got, at, ok := m.Status(key)
 			if !ok || got != want || at != uint64(stamp+2) {
@@ -158,7 +158,7 @@
 			t.Errorf("%s: written by %q", value, Writer(value))
 		}
 	}
-	m.Apply(&protocol.WatchEvent{Delete: key, Stamp: 9})
+	m.Apply(&protocol.WatchEvent{Delete: key, Revision: 9})
 	if _, _, ok := m.Status(key); ok || len(m.statuses) > 0 {
 		t.Error("a deleted record has a status")
 	}
@@ -183,20 +183,20 @@
 			var j *Job
 			if j, err = DecodeJob(json.RawMessage(value)); err == nil {
 				again = Encode(j)
-				if j.Parts != 0 || j.Regular() != 2 {
-					t.Errorf("%s: %d parts, %d records", key, j.Parts, j.Regular())
+				if j.Parts != 0 || j.BaseRecords() != 2 {
+					t.Errorf("%s: %d parts, %d records", key, j.Parts, j.BaseRecords())
 				}
 			}
 		case strings.HasPrefix(key, TaskPrefix):
-			again, err = through[Chunk](value)
+			again, err = through[TaskRecord](value)
 		case strings.HasPrefix(key, FinalPrefix):
 			again, err = through[Final](value)
 		case strings.HasPrefix(key, MachinePrefix):
-			again, err = through[Rack](value)
-		case strings.HasPrefix(key, MailPrefix):
-			again, err = through[Mail](value)
-		case key == ClaimKey:
-			again, err = through[Claim](value)
+			again, err = through[MachineRecord](value)
+		case strings.HasPrefix(key, RelayPrefix):
+			again, err = through[RelayedFrames](value)
+		case key == LeaderKey:
+			again, err = through[LeaderLease](value)
 		case key == TypesKey:
 			again, err = through[protocol.MachineTypes](value)
 		default:
--- a/internal/bookkeeping/mirror.go
+++ b/internal/bookkeeping/mirror.go
@@ -19,8 +19,8 @@
 // status is what a job's record says to its user, as of a revision: users ask
 // far more often than records change.
 type status struct {
-	stamp uint64
-	told  protocol.Status
+	revision uint64
+	answer   protocol.Status
 }
 
 // Ready says whether the mirror has been loaded.
@@ -56,14 +56,14 @@
 // known.
 func (m *Mirror) Apply(ev *protocol.WatchEvent) bool {
 	if ev.Set != "" {
-		if old, ok := m.items[ev.Set]; ok && old.Stamp >= ev.Stamp {
+		if old, ok := m.items[ev.Set]; ok && old.Revision >= ev.Revision {
 			return false
 		}
-		m.items[ev.Set] = protocol.Entry{Key: ev.Set, Value: ev.Value, Stamp: ev.Stamp}
+		m.items[ev.Set] = protocol.Entry{Key: ev.Set, Value: ev.Value, Revision: ev.Revision}
 		return true
 	}
 	old, ok := m.items[ev.Delete]
-	if !ok || old.Stamp >= ev.Stamp {
+	if !ok || old.Revision >= ev.Revision {
 		return false
 	}
 	delete(m.items, ev.Delete)
@@ -85,15 +85,15 @@
 		return protocol.Status{}, 0, false
 	}
 	s, known := m.statuses[key]
-	if !known || s.stamp != e.Stamp {
+	if !known || s.revision != e.Revision {
 		rec, err := DecodeJob(e.Value)
 		if err != nil {
 			return protocol.Status{}, 0, false
 		}
-		s = status{e.Stamp, rec.Status()}
+		s = status{e.Revision, rec.Status()}
 		m.statuses[key] = s
 	}
-	return s.told, s.stamp, true
+	return s.answer, s.revision, true
 }
 
 // Each visits the keys below a prefix, in no order.
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -3,11 +3,11 @@
 //
 // Keys:
 //
-//	g/c/leader      the leader's claim, attached to its lease
+//	g/c/leader      the leader lease, attached to its lease
 //	g/c/types       the machine types as the leader last saw them
 //	g/j/<job>       an unfinished job: description, state and first tasks
 //	g/t/<job>/<n>   further tasks of a job that does not fit into one record
-//	g/m/<rack>      the room record of a rack: some machines of one zone
+//	g/m/<machine record>      the machine record of a machine record: some machines of one zone
 //	g/x/<from>/<to> messages between controllers that no link leads to
 //	h/<job>         a finished job, kept for good
 //
@@ -30,12 +30,12 @@
 // Prefixes and keys.
 const (
 	LivePrefix    = "g/"
-	ClaimKey      = "g/c/leader"
+	LeaderKey     = "g/c/leader"
 	TypesKey      = "g/c/types"
 	JobPrefix     = "g/j/"
 	TaskPrefix    = "g/t/"
 	MachinePrefix = "g/m/"
-	MailPrefix    = "g/x/"
+	RelayPrefix   = "g/x/"
 	FinalPrefix   = "h/"
 )
 
@@ -45,11 +45,11 @@
 // FinalKey is the key of a finished job.
 func FinalKey(id string) string { return FinalPrefix + id }
 
-// ChunkKey is the key of a job's n-th record of tasks, n from 1.
-func ChunkKey(id string, n int) string { return TaskPrefix + id + "/" + strconv.Itoa(n) }
+// TaskRecordKey is the key of a job's n-th record of tasks, n from 1.
+func TaskRecordKey(id string, n int) string { return TaskPrefix + id + "/" + strconv.Itoa(n) }
 
-// SplitChunkKey takes such a key apart.
-func SplitChunkKey(key string) (id string, n int, ok bool) {
+// ParseTaskRecordKey takes such a key apart.
+func ParseTaskRecordKey(key string) (id string, n int, ok bool) {
 	rest, ok := strings.CutPrefix(key, TaskPrefix)
 	if !ok {
 		return "", 0, false
@@ -62,33 +62,33 @@
 	return id, n, err == nil && n > 0
 }
 
-// RackKey is the key of a rack's room record.
-func RackKey(id string) string { return MachinePrefix + id }
+// MachineRecordKey is the key of a machine record's machine record.
+func MachineRecordKey(id string) string { return MachinePrefix + id }
 
-// MailKey is the key of the messages from one controller to another.
-func MailKey(from, to string) string { return MailPrefix + from + "/" + to }
+// RelayKey is the key of the messages from one controller to another.
+func RelayKey(from, to string) string { return RelayPrefix + from + "/" + to }
 
-// SplitMailKey takes such a key apart.
-func SplitMailKey(key string) (from, to string, ok bool) {
-	rest, ok := strings.CutPrefix(key, MailPrefix)
+// ParseRelayKey takes such a key apart.
+func ParseRelayKey(key string) (from, to string, ok bool) {
+	rest, ok := strings.CutPrefix(key, RelayPrefix)
 	if !ok {
 		return "", "", false
 	}
 	return strings.Cut(rest, "/")
 }
 
-// Mail holds frames of the controllers' binary format.
-type Mail struct {
+// RelayedFrames holds frames of the controllers' binary format.
+type RelayedFrames struct {
 	Writer string `json:"w"`
 	Frames []byte `json:"f"`
 }
 
-// MailSize is how many bytes of frames fit into one value: JSON writes three
+// RelayCapacity is how many bytes of frames fit into one value: JSON writes three
 // bytes as four characters.
-func MailSize(valueKB float64) int { return (int(valueKB*1024) - 256) / 4 * 3 }
+func RelayCapacity(valueKB float64) int { return (int(valueKB*1024) - 256) / 4 * 3 }
 
-// Claim is the leader's claim. Its revision is the term and the token.
-type Claim struct {
+// LeaderLease is the leader lease. Its revision is the term and the token.
+type LeaderLease struct {
 	Node string `json:"node"`
 	// Boot tells two lives of one node apart.
 	Boot string `json:"boot"`
@@ -178,24 +178,24 @@
 // Job is the record of an unfinished job. Writer is unique to every write: by
 // it a transaction whose answer was lost is told from one that never happened.
 type Job struct {
-	Writer    string        `json:"w"`
-	Spec      *protocol.Job `json:"spec"`
-	AtMs      int64         `json:"at"`            // time of day of the submission
-	Seq       uint64        `json:"seq,omitempty"` // revision of the submission: the order of arrival
-	Attempt   uint64        `json:"try,omitempty"` // the gang's epoch
-	Cancelled bool          `json:"off,omitempty"`
-	Done      int           `json:"done,omitempty"`
-	Placed    int           `json:"placed,omitempty"`
-	Chunk     int           `json:"chunk"` // tasks per record
+	Writer      string        `json:"w"`
+	Spec        *protocol.Job `json:"spec"`
+	AtMs        int64         `json:"at"`            // time of day of the submission
+	Seq         uint64        `json:"seq,omitempty"` // revision of the submission: the order of arrival
+	Attempt     uint64        `json:"try,omitempty"` // the gang's epoch
+	Cancelled   bool          `json:"off,omitempty"`
+	Done        int           `json:"done,omitempty"`
+	Placed      int           `json:"placed,omitempty"`
+	RecordTasks int           `json:"chunk"` // tasks per record
 	// Parts is the number of records if there are more than the chunk says: one that
 	// had outgrown the limits was split, and what it gave away is in the last ones.
-	// The first version would not find those.
+	// Version 0.2 would not find those.
 	Parts int   `json:"parts,omitempty"`
 	Tasks Tasks `json:"tasks,omitempty"`
 }
 
-// Regular is the number of records that the chunk says.
-func (j *Job) Regular() int { return (j.Spec.Tasks + j.Chunk - 1) / j.Chunk }
+// BaseRecords is the number of records that the chunk says.
+func (j *Job) BaseRecords() int { return (j.Spec.Tasks + j.RecordTasks - 1) / j.RecordTasks }
 
 // Writer is the writer's name that a record begins with, found without decoding
 // the rest; "" if it begins otherwise.
@@ -208,37 +208,37 @@
 	return string(name)
 }
 
-// Chunk is a further record of a job's tasks.
-type Chunk struct {
+// TaskRecord is a further record of a job's tasks.
+type TaskRecord struct {
 	Writer string `json:"w"`
 	Tasks  Tasks  `json:"tasks,omitempty"`
 }
 
-// Rack is the room record of some machines of one zone. A claim on a machine's
-// room is guarded on the record's revision.
-type Rack struct {
-	Writer   string `json:"w"`
-	Machines []Room `json:"rooms"`
+// MachineRecord lists some machines of one zone. A placement on one of them
+// is guarded on the revision of this record.
+type MachineRecord struct {
+	Writer   string         `json:"w"`
+	Machines []MachineEntry `json:"rooms"`
 }
 
-// RackBytes is how many bytes of rooms fit into one record.
-func RackBytes(valueKB float64) int { return int(valueKB*1024) - 256 }
+// MachineRecordCapacity is how many bytes of rooms fit into one record.
+func MachineRecordCapacity(valueKB float64) int { return int(valueKB*1024) - 256 }
 
-// Room is a machine's entry in its rack.
-type Room struct {
+// MachineEntry is a machine's entry in its machine record.
+type MachineEntry struct {
 	ID      string `json:"id"`
 	Address string `json:"addr"`
 	Type    string `json:"type"`
 	Zone    string `json:"zone"`
 	Spot    bool   `json:"spot,omitempty"`
-	// Closed machines take no further tasks.
-	Closed bool `json:"closed,omitempty"`
+	// Cordoned machines take no further tasks.
+	Cordoned bool `json:"closed,omitempty"`
 }
 
 // Size is how many bytes an entry takes at most, whatever address it gets and
 // whether or not it is closed.
-func (r Room) Size() int {
-	r.Closed, r.Spot = true, true
+func (r MachineEntry) Size() int {
+	r.Cordoned, r.Spot = true, true
 	return len(Encode(r)) + 1 + max(0, maxAddress-len(r.Address))
 }
 
@@ -252,21 +252,21 @@
 	Done   int    `json:"done"`
 }
 
-// ChunkSize is the number of a job's tasks per record that the limits allow. The
+// TasksPerRecord is the number of a job's tasks per record that the limits allow. The
 // places of a gang are all written, and each is guarded on its machine's room.
-func ChunkSize(valueKB float64, txnOps int, spec *protocol.Job) int {
+func TasksPerRecord(valueKB float64, txnOps int, spec *protocol.Job) int {
 	n := (int(valueKB*1024) - len(Encode(spec)) - tuning.HeaderBytes) / tuning.TaskBytes
 	n = min(n, tuning.TasksPerRecord)
 	if spec.Gang() {
-		n = min(n, GangChunk(txnOps))
+		n = min(n, GangRecordTasks(txnOps))
 	}
 	return max(1, n)
 }
 
-// GangChunk is how many tasks of a gang a record may have: with every one on
-// another machine, in another rack, the transaction that places them keeps within
-// its conditions, four for every change, the claim and two records among them.
-func GangChunk(txnOps int) int { return 4*txnOps - 4 }
+// GangRecordTasks is how many tasks of a gang a record may have: with every one on
+// another machine, in another machine record, the transaction that places them keeps within
+// its conditions, four for every change, the leader lease and two records among them.
+func GangRecordTasks(txnOps int) int { return 4*txnOps - 4 }
 
 // Storable says whether a job's description leaves room for a task.
 func Storable(valueKB float64, spec *protocol.Job) bool {
@@ -292,7 +292,7 @@
 	if err := json.Unmarshal(value, &j); err != nil {
 		return nil, err
 	}
-	if j.Parts < 0 || j.Parts > protocol.MaxTasks || j.Spec == nil || !protocol.ValidID(j.Spec.ID) || j.Spec.Tasks < 1 || j.Spec.Tasks > protocol.MaxTasks || j.Chunk < 1 {
+	if j.Parts < 0 || j.Parts > protocol.MaxTasks || j.Spec == nil || !protocol.ValidID(j.Spec.ID) || j.Spec.Tasks < 1 || j.Spec.Tasks > protocol.MaxTasks || j.RecordTasks < 1 {
 		return nil, fmt.Errorf("job record without a sound description")
 	}
 	return &j, nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,8 +17,8 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Sibling is another controller.
-type Sibling struct {
+// Peer is another controller.
+type Peer struct {
 	Name string `toml:"host_name"`
 	Zone string `toml:"domain"`
 	Addr string `toml:"addr"`
@@ -77,8 +77,8 @@
 	TxnOps   *int     `toml:"txn_ops"`
 }
 
-// Tightest are the limits that hold now and later: the smaller of each.
-func (s State) Tightest() State {
+// Smallest are the limits that hold now and later: the smaller of each.
+func (s State) Smallest() State {
 	t := s
 	t.Next = nil
 	if n := s.Next; n != nil {
@@ -146,7 +146,7 @@
 	Zone       string    `toml:"domain"`
 	Listen     string    `toml:"listen"`
 	PeerListen string    `toml:"peer_bind"`
-	Siblings   []Sibling `toml:"siblings"`
+	Peers      []Peer    `toml:"siblings"`
 	Endpoints  Endpoints `toml:"endpoints"`
 	Cluster    Cluster   `toml:"cluster"`
 
@@ -190,7 +190,7 @@
 		return c, err
 	}
 	if present := c.Cluster.State; present.Next != nil {
-		c.Cluster.Present, c.Cluster.State = &present, present.Tightest()
+		c.Cluster.Present, c.Cluster.State = &present, present.Smallest()
 	}
 	return c, nil
 }
@@ -241,7 +241,7 @@
 	addr("endpoints.cloud", c.Endpoints.Cloud)
 	addr("endpoints.state", c.Endpoints.State)
 	seen := map[string]bool{c.Name: true}
-	for i, s := range c.Siblings {
+	for i, s := range c.Peers {
 		if s.Name == "" || seen[s.Name] {
 			fail("siblings[%d].host_name: %q is empty or used twice", i, s.Name)
 		}
@@ -285,7 +285,7 @@
 	}
 	check("cluster.state", k.State)
 	if k.State.Next != nil {
-		check("cluster.state.next", k.State.Tightest())
+		check("cluster.state.next", k.State.Smallest())
 	}
 	positive("cluster.cloud.rps", k.Cloud.RPS)
 	amount("cluster.cloud.list_lag_s", k.Cloud.ListLagS)
@@ -332,7 +332,7 @@
 		},
 		func(o *tuning.Operator) string { return strconv.Itoa(o.SparesPerZone) }},
 	"queue.bar-after.seconds": seconds("seconds a gang waits before smaller jobs no longer pass it",
-		func(o *tuning.Operator) *time.Duration { return &o.BarAfter }),
+		func(o *tuning.Operator) *time.Duration { return &o.ReserveAfter }),
 	"workers.direct-starts": {"true: starts go straight to workers; false: with their next report",
 		func(o *tuning.Operator, value string) error {
 			v, err := strconv.ParseBool(value)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Name != "n0" || c.Siblings[0].Addr != "127.0.0.2:8081" || c.Cluster.Teams[0].MaxGPUs != 24 || c.Cluster.State.TxnOps != 24 {
+	if c.Name != "n0" || c.Peers[0].Addr != "127.0.0.2:8081" || c.Cluster.Teams[0].MaxGPUs != 24 || c.Cluster.State.TxnOps != 24 {
 		t.Errorf("%+v", c)
 	}
 }
@@ -129,7 +129,7 @@
 		if err != nil {
 			t.Fatalf("%q: %v", next, err)
 		}
-		if got := c.Cluster.State.Tightest(); got != want {
+		if got := c.Cluster.State.Smallest(); got != want {
 			t.Errorf("%q: %+v", next, got)
 		}
 		if got := c.Cluster.StateNow(); got.ValueKB != 8 || got.TxnOps != 24 || got.WriteRPS != 30 {
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -26,7 +26,7 @@
 	for range 40 {
 		j := l.testJob(s)
 		l.placeArray(j, false)
-		for _, c := range j.copies {
+		for _, c := range j.attempts {
 			c.committed, c.sent, c.state = true, true, protocol.TaskRunning
 		}
 	}
@@ -48,8 +48,8 @@
 	for i := range b.N {
 		m := bodies[i%len(bodies)]
 		body := fmt.Appendf(nil, `{"berth":%q,"address":"h:1","build":"big","yard":%q,"loaners":false,"tenure":1,"tally":%d,"warrant":%d,"recall_s":null,"pieces":[`,
-			m.id, m.zone, m.seq+1, l.n.claim.term)
-		for k, c := range sortedCopies(m) {
+			m.id, m.zone, m.seq+1, l.n.lease.term)
+		for k, c := range sortedAttempts(m) {
 			if k > 0 {
 				body = append(body, ',')
 			}
--- /dev/null
+++ b/internal/coordination/cancellation.go
@@ -0,0 +1,88 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// cancel marks a job as cancelled by a guarded transaction. Whoever leads
+// learns it from its watch.
+func (n *Node) cancel(id uint64, job string) {
+	if f, ok := n.finals[job]; ok {
+		n.reply(id, 200, protocol.Accepted{ID: job, Phase: f.Phase})
+		return
+	}
+	if !n.mirror.Ready() {
+		n.refuse(id, "starting")
+		return
+	}
+	if n.stateUnreachable() {
+		n.refuse(id, "state service out of reach")
+		return
+	}
+	if !n.takeWriteBudget() {
+		n.shed(id)
+		return
+	}
+	deadline := n.now.Add(tuning.UserDeadline)
+	if e, ok := n.mirror.Get(bookkeeping.JobKey(job)); ok {
+		n.cancelRecord(id, job, &e, deadline)
+		return
+	}
+	n.cancelFresh(id, job, deadline)
+}
+
+func (n *Node) cancelFresh(id uint64, job string, deadline time.Time) {
+	n.read(id, bookkeeping.JobKey(job), deadline, func(e *protocol.Entry) {
+		if e != nil {
+			n.cancelRecord(id, job, e, deadline)
+			return
+		}
+		n.lookUp(id, job, deadline, func(s *protocol.Status) {
+			if s == nil {
+				n.reply(id, 404, protocol.ErrorBody{Error: "no such job"})
+				return
+			}
+			if s.Phase != protocol.PhaseDone && s.Phase != protocol.PhaseCancelled {
+				n.refuse(id, "try again")
+				return
+			}
+			n.reply(id, 200, protocol.Accepted{ID: job, Phase: s.Phase})
+		})
+	})
+}
+
+func (n *Node) cancelRecord(id uint64, job string, e *protocol.Entry, deadline time.Time) {
+	rec, err := bookkeeping.DecodeJob(e.Value)
+	if err != nil {
+		n.refuse(id, "record does not parse")
+		return
+	}
+	if rec.Cancelled {
+		n.announceCancel(job) // by a transaction whose answer was lost, perhaps
+		n.reply(id, 200, protocol.Accepted{ID: job, Phase: protocol.PhaseCancelled})
+		return
+	}
+	rec.Cancelled, rec.Writer = true, n.unique()
+	if rec.Seq == 0 {
+		rec.Seq = e.Revision
+	}
+	txn := protocol.Txn{
+		If:   []protocol.Condition{{Key: e.Key, Revision: e.Revision}},
+		Then: []protocol.Change{{Set: e.Key, Value: bookkeeping.Encode(rec)}},
+	}
+	n.state("POST", protocol.PathTxn, txn, func(status int, _ []byte) {
+		switch {
+		case status == 200:
+			n.announceCancel(job)
+			n.reply(id, 200, protocol.Accepted{ID: job, Phase: protocol.PhaseCancelled})
+		case (status == 409 || status == 0) && n.now.Before(deadline):
+			n.cancelFresh(id, job, deadline)
+		default:
+			n.refuse(id, "state service does not answer")
+		}
+	})
+}
--- a/internal/coordination/due.go
+++ b/internal/coordination/due.go
@@ -28,19 +28,19 @@
 		}
 	case !n.watching:
 		by(n.watchAt)
-	case n.ahead.revision > n.mirror.Revision:
-		by(n.ahead.sent.Add(tuning.WatchStuck))
+	case n.awaited.revision > n.mirror.Revision:
+		by(n.awaited.sentAt.Add(tuning.WatchStuck))
 	}
 	if n.mirror.Ready() {
-		by(n.asked.Add(tuning.StateProbe))
+		by(n.askedAt.Add(tuning.StateProbe))
 	}
 	by(n.typesAt)
-	n.claimDue(by)
+	n.leaseDue(by)
 	by(n.beatAt)
-	if len(n.carried)+len(n.parked)+len(n.delegated) > 0 {
+	if len(n.forwarded)+len(n.queuedReports)+len(n.delegated) > 0 {
 		by(n.expireAt)
 	}
-	for _, box := range n.mail {
+	for _, box := range n.outboxes {
 		if len(box.frames) > 0 && !box.sending {
 			by(box.sendAt)
 		}
@@ -48,28 +48,28 @@
 	if len(n.polls) > 0 {
 		by(n.pollAt)
 	}
-	if n.acting() {
+	if n.mayAct() {
 		n.lead.due(by)
 	}
 	return max(due.Sub(n.now), tuning.Tick)
 }
 
-// claimDue tells when the claim is to be renewed, given up or tried for.
-func (n *Node) claimDue(by func(time.Time)) {
-	c := &n.claim
+// leaseDue tells when the leader lease is to be renewed, given up or tried for.
+func (n *Node) leaseDue(by func(time.Time)) {
+	c := &n.lease
 	switch {
 	case c.term == 0:
-		if n.mayClaim() {
+		if n.mayAcquireLease() {
 			by(c.retryAt)
 		}
 	case !c.renewing:
 		by(c.renewAt)
 		fallthrough
 	default:
-		if n.vouchedNow() {
-			by(n.vouched.at.Add(min(n.grace(), n.authority())))
+		if n.confirmedByPeers() {
+			by(n.confirmation.confirmedAt.Add(min(n.grace(), n.authority())))
 		} else {
-			by(n.provenAt().Add(n.authority()))
+			by(n.authorityStart().Add(n.authority()))
 		}
 	}
 }
@@ -84,7 +84,7 @@
 	if l.inFlight == nil && len(l.dirty) > 0 {
 		by(l.commitAt)
 	}
-	if len(l.hurried) > 0 {
+	if len(l.directQueue) > 0 {
 		by(l.n.now)
 	}
 }
--- /dev/null
+++ b/internal/coordination/events.go
@@ -0,0 +1,122 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+// Target is the outside system that a request goes to.
+type Target int
+
+// The outside systems.
+const (
+	ToState       Target = iota
+	ToLeaderLease        // the state service, on a connection kept for renewals of the leader lease
+	ToCloud
+	ToWorker
+)
+
+// Action is something the owner must do for the node.
+type Action interface{ action() }
+
+// Request calls an outside system. Exactly one Response with its ID follows.
+type Request struct {
+	ID      uint64
+	To      Target
+	Address string // of a worker
+	Method  string
+	Path    string
+	Body    []byte
+	Timeout time.Duration
+}
+
+// Reply answers a user or a worker.
+type Reply struct {
+	ID         uint64
+	Status     int
+	Body       []byte
+	RetryAfter time.Duration
+}
+
+// PeerSend sends a message to a peer, if there is a link.
+type PeerSend struct {
+	Peer    string
+	Message protocol.PeerMessage
+}
+
+// PeerReset closes a link that has gone silent, so that it is dialled anew.
+type PeerReset struct{ Peer string }
+
+func (Request) action() {}
+
+func (Reply) action() {}
+
+func (PeerSend) action() {}
+
+func (PeerReset) action() {}
+
+// Event is something that happened to the node.
+type Event interface{ event() }
+
+// Response ends a Request. Status 0: no answer came, the request may have been
+// executed or may yet be.
+type Response struct {
+	ID     uint64
+	Status int
+	Body   []byte
+}
+
+// Submit is a user's valid submission.
+type Submit struct {
+	ID  uint64
+	Job *protocol.Job
+}
+
+// Query is a user's poll.
+type Query struct {
+	ID  uint64
+	Job string
+}
+
+// Cancel is a user's cancellation.
+type Cancel struct {
+	ID  uint64
+	Job string
+}
+
+// WorkerReport is a worker's report that this node was sent.
+type WorkerReport struct {
+	ID     uint64
+	Report *protocol.Report
+}
+
+// PeerUp and PeerDown say that a link to a peer exists or no longer does.
+type PeerUp struct{ Peer string }
+
+// PeerDown says that the last link to a peer is gone.
+type PeerDown struct{ Peer string }
+
+// PeerReceive is a message from a peer. The links that a process accepts are
+// numbered as they come; a link begins with PeerHello.
+type PeerReceive struct {
+	Peer    string
+	Link    uint64
+	Message protocol.PeerMessage
+}
+
+func (Response) event() {}
+
+func (Submit) event() {}
+
+func (Query) event() {}
+
+func (Cancel) event() {}
+
+func (WorkerReport) event() {}
+
+func (PeerUp) event() {}
+
+func (PeerDown) event() {}
+
+func (PeerReceive) event() {}
--- a/internal/coordination/fences_test.go
+++ b/internal/coordination/fences_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -40,12 +39,12 @@
 }
 
 // recorded is a job whose task a predecessor's record places on a machine.
-func (l *leader) recorded(m *machine) (*job, *taskCopy) {
+func (l *leader) recorded(m *machine) (*job, *taskAttempt) {
 	s := gangOf(1, 1)
 	s.ID, s.Priority = "run-000077", "normal"
-	j := l.addJob(&bookkeeping.Job{Spec: &s, AtMs: l.n.now.UnixMilli(), Seq: 5, Attempt: 3, Chunk: 60,
+	j := l.addJob(&bookkeeping.Job{Spec: &s, AtMs: l.n.now.UnixMilli(), Seq: 5, Attempt: 3, RecordTasks: 60,
 		Tasks: []bookkeeping.Task{{Index: 0, Attempt: 3, Machine: m.id, Session: 1}}}, 9)
-	return j, j.list()[0]
+	return j, j.sortedAttempts()[0]
 }
 
 // TestAbsenceNeedsToken: until the worker has shown this leader's token its
@@ -54,12 +53,12 @@
 	l := testLeader(time.Unix(1_800_000_000, 0))
 	m := l.testMachine("i-1", "big", "a", false)
 	j, _ := l.recorded(m)
-	l.testReport(m, l.n.claim.term-1)
-	if len(j.copies) != 1 {
+	l.testReport(m, l.n.lease.term-1)
+	if len(j.attempts) != 1 {
 		t.Fatal("gone by a report that has not seen the token")
 	}
-	l.testReport(m, l.n.claim.term)
-	if len(j.copies) != 0 {
+	l.testReport(m, l.n.lease.term)
+	if len(j.attempts) != 0 {
 		t.Error("still there after a report that has")
 	}
 }
@@ -70,10 +69,10 @@
 	l := testLeader(time.Unix(1_800_000_000, 0))
 	m := l.testMachine("i-1", "big", "a", false)
 	l.recorded(m)
-	if got := ops(l.testReport(m, l.n.claim.term-1)); got != "" {
+	if got := ops(l.testReport(m, l.n.lease.term-1)); got != "" {
 		t.Errorf("orders %s", got)
 	}
-	if got := ops(l.testReport(m, l.n.claim.term)); got != "" {
+	if got := ops(l.testReport(m, l.n.lease.term)); got != "" {
 		t.Errorf("orders %s", got)
 	}
 }
@@ -86,25 +85,25 @@
 	j := l.testJob(gangOf(1, 1))
 	l.placeGang(j)
 	clear(j.dirty)
-	c := j.list()[0]
+	c := j.sortedAttempts()[0]
 	c.committed = true
 	l.direct(m, l.orders(m, false))
 	r := l.n.lastRequest(t, ToWorker)
 	l.n.handle(Response{ID: r.ID})
-	l.testReport(m, l.n.claim.term)
-	l.testReport(m, l.n.claim.term)
-	if len(j.copies) != 1 {
+	l.testReport(m, l.n.lease.term)
+	l.testReport(m, l.n.lease.term)
+	if len(j.attempts) != 1 {
 		t.Fatal("gone while its start may be on its way")
 	}
 	l.stop(c, 0)
-	if got := ops(l.testReport(m, l.n.claim.term)); got != "start halt " {
+	if got := ops(l.testReport(m, l.n.lease.term)); got != "start halt " {
 		t.Errorf("orders %q", got)
 	}
 	exited := protocol.TaskReport{Task: j.id + "/0", Attempt: 1, State: protocol.TaskExited, Cause: protocol.CauseStopped}
-	if got := ops(l.testReport(m, l.n.claim.term, exited)); got != "" {
+	if got := ops(l.testReport(m, l.n.lease.term, exited)); got != "" {
 		t.Errorf("orders %q: the attempt must not be forgotten", got)
 	}
-	if len(j.copies) != 0 {
+	if len(j.attempts) != 0 {
 		t.Error("still there after its exit")
 	}
 }
@@ -119,20 +118,20 @@
 	lease := seconds(l.n.cfg.Cluster.Workers.LeaseS)
 	at := func(d time.Duration) {
 		l.n.now = start.Add(d)
-		l.n.claim.renewed, l.n.known = l.n.now, l.n.now
+		l.n.lease.renewedAt, l.n.syncedAt = l.n.now, l.n.now
 		l.tickMachines()
 	}
 	at(lease + l.n.grace() - time.Second)
-	if len(j.copies) != 1 {
+	if len(j.attempts) != 1 {
 		t.Fatal("presumed gone within the predecessor's grace")
 	}
 	at(lease + l.n.grace() + 3*time.Second)
-	if len(j.copies) != 0 {
+	if len(j.attempts) != 0 {
 		t.Error("not gone after grace and lease")
 	}
 }
 
-// TestCommitFirst: a placement is guarded on the claim, the job and the room it
+// TestCommitFirst: a placement is guarded on the leader lease, the job and the room it
 // takes, and no start leaves before it is committed.
 func TestCommitFirst(t *testing.T) {
 	t.Run(protocol.ShapeGang, func(t *testing.T) { commitFirst(t, protocol.ShapeGang, (*leader).placeGang) })
@@ -151,7 +150,7 @@
 	if !place(l, j) {
 		t.Fatal("not placed")
 	}
-	if got := ops(l.testReport(m, l.n.claim.term)); got != "" {
+	if got := ops(l.testReport(m, l.n.lease.term)); got != "" {
 		t.Fatalf("orders %q before the commit", got)
 	}
 	l.commitNext()
@@ -159,18 +158,18 @@
 	txn, _ := parse[protocol.Txn](r.Body)
 	guards := map[string]uint64{}
 	for _, c := range txn.If {
-		guards[c.Key] = c.Stamp
+		guards[c.Key] = c.Revision
 	}
-	for key, want := range map[string]uint64{bookkeeping.ClaimKey: l.n.claim.term, bookkeeping.JobKey(j.id): stamp, m.rack.key: m.rack.stamp} {
+	for key, want := range map[string]uint64{bookkeeping.LeaderKey: l.n.lease.term, bookkeeping.JobKey(j.id): stamp, m.record.key: m.record.revision} {
 		if got, ok := guards[key]; !ok || got != want {
 			t.Errorf("%s is guarded on %d (%v), want %d", key, got, ok, want)
 		}
 	}
-	if got := ops(l.testReport(m, l.n.claim.term)); got != "" {
+	if got := ops(l.testReport(m, l.n.lease.term)); got != "" {
 		t.Fatalf("orders %q during the commit", got)
 	}
 	l.n.handle(Response{ID: r.ID, Status: 200, Body: []byte(`{"ledger":99}`)})
-	if got := ops(l.testReport(m, l.n.claim.term)); got != "start start " {
+	if got := ops(l.testReport(m, l.n.lease.term)); got != "start start " {
 		t.Errorf("orders %q after it", got)
 	}
 }
@@ -185,133 +184,28 @@
 	l.commitNext()
 	r := l.n.lastRequest(t, ToState)
 	l.n.handle(Response{ID: r.ID, Status: 409, Body: bookkeeping.Encode(protocol.TxnAnswer{Failed: []string{bookkeeping.JobKey(j.id)}})})
-	if len(j.copies) != 0 || l.machines["i-1"].gpus != 0 {
-		t.Fatalf("%d copies of the plan are left", len(j.copies))
+	if len(j.attempts) != 0 || l.machines["i-1"].gpus != 0 {
+		t.Fatalf("%d copies of the plan are left", len(j.attempts))
 	}
 	read := l.n.lastRequest(t, ToState)
-	rec := bookkeeping.Job{Writer: "another", Spec: j.spec, Chunk: 60, Seq: j.seq, Cancelled: true}
-	l.n.handle(Response{ID: read.ID, Status: 200, Body: bookkeeping.Encode(protocol.Entry{Key: bookkeeping.JobKey(j.id), Value: bookkeeping.Encode(rec), Stamp: 50})})
+	rec := bookkeeping.Job{Writer: "another", Spec: j.spec, RecordTasks: 60, Seq: j.seq, Cancelled: true}
+	l.n.handle(Response{ID: read.ID, Status: 200, Body: bookkeeping.Encode(protocol.Entry{Key: bookkeeping.JobKey(j.id), Value: bookkeeping.Encode(rec), Revision: 50})})
 	if !j.cancelled || j.revisions[0] != 50 || j.finalPhase() != protocol.PhaseCancelled {
 		t.Errorf("cancelled %v at revision %d", j.cancelled, j.revisions[0])
 	}
 }
 
-// TestDeaf: a worker whose reports go on coming, but never show what the
-// answers told it, takes no new work; one that does not answer calls either is
-// returned, which proves its tasks gone. One that answers a call is kept.
-func TestDeaf(t *testing.T) {
-	for _, answers := range []bool{false, true} {
-		l := testLeader(time.Unix(1_800_000_000, 0))
-		m := l.testMachine("i-1", "big", "a", false)
-		j := l.testJob(gangOf(1, 1))
-		l.placeGang(j)
-		clear(j.dirty)
-		j.list()[0].committed = true
-		for range tuning.MissedAnswers + 1 {
-			l.testReport(m, l.n.claim.term)
-		}
-		if l.open(m) {
-			t.Fatal("takes new work")
-		}
-		for range 100 {
-			l.n.now = l.n.now.Add(tuning.WatchMachines)
-			l.n.claim.renewed, l.n.known, m.lastReport, m.answered = l.n.now, l.n.now, l.n.now, l.n.now
-			l.n.out = nil
-			l.tickMachines()
-			for _, a := range l.n.out {
-				r, ok := a.(Request)
-				if !ok || r.To != ToWorker {
-					continue
-				}
-				if answers {
-					l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.Report{Machine: m.id, Address: "h:1", Type: m.typeName,
-						Zone: m.zone, Session: 1, Seq: m.seq + 1, Token: l.n.claim.term})})
-				} else {
-					l.n.handle(Response{ID: r.ID})
-				}
-			}
-		}
-		if m.deleting == answers || l.open(m) != answers {
-			t.Errorf("answers calls %v: returned %v, takes work %v", answers, m.deleting, l.open(m))
-		}
-		if l.forget(m.id); len(j.copies) != 0 {
-			t.Errorf("%d copies are left once it is gone", len(j.copies))
-		}
-	}
-}
-
-// TestLeaseRanOutThoughAnswered: a newer session of a worker that was answered
-// all the time shows that the answers do not reach it.
-func TestLeaseRanOutThoughAnswered(t *testing.T) {
-	l := testLeader(time.Unix(1_800_000_000, 0))
-	m := l.testMachine("i-1", "big", "a", false)
-	for range 6 {
-		l.n.now = l.n.now.Add(4 * time.Second)
-		l.testReport(m, l.n.claim.term)
-	}
-	if !l.open(m) {
-		t.Fatal("takes no work")
-	}
-	l.n.now = l.n.now.Add(4 * time.Second)
-	l.report(&protocol.Report{Machine: m.id, Address: "h:1", Type: m.typeName, Zone: m.zone, Session: 2, Seq: 1, Token: l.n.claim.term}, true)
-	if l.open(m) {
-		t.Error("takes new work")
-	}
-}
-
-// TestSilentZone: when a whole zone falls silent its machines are not returned
-// at once, though they are only a third of all: they are back when the cut ends.
-// Two that die in a zone that goes on reporting are.
-func TestSilentZone(t *testing.T) {
-	for _, c := range []struct{ silent, returned int }{{2, 2}, {8, 0}} {
-		start := time.Unix(1_800_000_000, 0)
-		l := testLeader(start)
-		for i := range 24 {
-			l.testMachine(fmt.Sprintf("i-%02d", i), "big", []string{"a", "b", "c"}[i/8], false)
-		}
-		lease := seconds(l.n.cfg.Cluster.Workers.LeaseS)
-		returned := func(till time.Duration) (n int) {
-			for ; l.n.now.Sub(start) < till; l.n.now = l.n.now.Add(tuning.WatchMachines) {
-				l.n.claim.renewed, l.n.known, l.n.out = l.n.now, l.n.now, nil
-				for i, m := range l.roster {
-					if i >= c.silent {
-						m.lastReport, m.answered = l.n.now, l.n.now
-					}
-				}
-				l.tickMachines()
-				for _, a := range l.n.out {
-					if r, ok := a.(Request); ok && r.To == ToWorker {
-						l.n.handle(Response{ID: r.ID})
-					}
-				}
-			}
-			for _, m := range l.roster {
-				if m.deleting {
-					n++
-				}
-			}
-			return n
-		}
-		if n := returned(lease); n != c.returned {
-			t.Errorf("%d silent: %d returned within the lease", c.silent, n)
-		}
-		if n := returned(3*lease + seconds(bigType.BootS)); n != c.silent {
-			t.Errorf("%d silent: %d returned in the end", c.silent, n)
-		}
-	}
-}
-
 // TestSpentBudget: a submission of the largest job for which the budget has no
 // room is refused at once, with a time to come back, and not held.
 func TestSpentBudget(t *testing.T) {
 	n := testLeader(time.Unix(1_800_000_000, 0)).n
 	n.mirror.BeginLoad()
 	n.mirror.LoadPage(&protocol.Entries{Revision: 1})
-	n.served = n.now
+	n.servedAt = n.now
 	for _, spent := range []bool{false, true} {
 		if spent {
-			n.admits.AllowN(n.now, n.admits.Burst()-1)
-			n.letters.AllowN(n.now, n.letters.Burst())
+			n.userWrites.AllowN(n.now, n.userWrites.Burst()-1)
+			n.relayWrites.AllowN(n.now, n.relayWrites.Burst())
 		}
 		s := gangOf(protocol.MaxTasks, 0)
 		s.ID, s.Priority, s.Shape = "run-000001", "normal", protocol.ShapeArray
@@ -331,26 +225,6 @@
 	}
 }
 
-// TestMuteWorker: a worker that answers calls while no report of it comes loses
-// its tasks with its lease, so it gets none; it is asked for none of its room.
-func TestMuteWorker(t *testing.T) {
-	l := testLeader(time.Unix(1_800_000_000, 0))
-	m := l.testMachine("i-1", "big", "a", false)
-	lease := seconds(l.n.cfg.Cluster.Workers.LeaseS)
-	for range int(lease / time.Second) {
-		l.n.now = l.n.now.Add(time.Second)
-		l.n.claim.renewed, l.n.known = l.n.now, l.n.now
-		l.report(&protocol.Report{Machine: m.id, Address: "h:1", Type: m.typeName, Zone: m.zone, Session: 1, Seq: m.seq + 1, Token: l.n.claim.term}, false)
-	}
-	if !l.alive(m) || l.open(m) {
-		t.Errorf("alive %v, takes work %v", l.alive(m), l.open(m))
-	}
-	l.testReport(m, l.n.claim.term)
-	if !l.open(m) {
-		t.Error("takes no work though it reports again")
-	}
-}
-
 // TestOwnWriteSeen: a transaction whose answer is lost is done once the watch
 // shows it; the answer to its repetition then means nothing.
 func TestOwnWriteSeen(t *testing.T) {
@@ -365,34 +239,34 @@
 		t.Fatal(err)
 	}
 	last := txn.Then[len(txn.Then)-1]
-	l.changed(&protocol.WatchEvent{Set: last.Set, Value: last.Value, Stamp: 44})
-	if c := j.list()[0]; !c.committed || j.revisions[0] != 44 || l.inFlight != nil {
+	l.changed(&protocol.WatchEvent{Set: last.Set, Value: last.Value, Revision: 44})
+	if c := j.sortedAttempts()[0]; !c.committed || j.revisions[0] != 44 || l.inFlight != nil {
 		t.Fatalf("committed %v at revision %d", c.committed, j.revisions[0])
 	}
 	l.n.handle(Response{ID: sent.ID, Status: 409, Body: bookkeeping.Encode(protocol.TxnAnswer{Failed: []string{last.Set}})})
-	if len(j.copies) != 1 {
+	if len(j.attempts) != 1 {
 		t.Error("the place is dropped by a late answer")
 	}
 }
 
-// TestStrayRoomRecord: the creation of a room record is carried out late, after
+// TestStrayRoomRecord: the creation of a machine record is carried out late, after
 // the record was deleted: the machines that it names must not come back with it.
-func TestStrayRoomRecord(t *testing.T) {
+func TestStrayMachineRecord(t *testing.T) {
 	l := testLeader(time.Unix(1_800_000_000, 0))
 	m := l.testMachine("i-1", "big", "a", false)
-	r := m.rack
+	r := m.record
 	l.forget(m.id)
-	l.written(rackWrite{rack: r}, 50)
-	value := bookkeeping.Encode(bookkeeping.Rack{Writer: l.n.unique(), Machines: []bookkeeping.Room{m.room()}})
-	l.changed(&protocol.WatchEvent{Set: r.key, Value: value, Stamp: 60})
+	l.machineRecordWritten(machineRecordWrite{record: r}, 50)
+	value := bookkeeping.Encode(bookkeeping.MachineRecord{Writer: l.n.unique(), Machines: []bookkeeping.MachineEntry{m.entry()}})
+	l.changed(&protocol.WatchEvent{Set: r.key, Value: value, Revision: 60})
 	l.n.now = l.n.now.Add(tuning.StaleWait + time.Second)
-	l.n.claim.renewed, l.n.known = l.n.now, l.n.now
+	l.n.lease.renewedAt, l.n.syncedAt = l.n.now, l.n.now
 	l.commitNext()
 	var txn protocol.Txn
 	if err := json.Unmarshal(l.n.lastRequest(t, ToState).Body, &txn); err != nil {
 		t.Fatal(err)
 	}
-	if len(txn.Then) != 1 || txn.Then[0].Delete != r.key || txn.If[1] != (protocol.Condition{Key: r.key, Stamp: 60}) {
+	if len(txn.Then) != 1 || txn.Then[0].Delete != r.key || txn.If[1] != (protocol.Condition{Key: r.key, Revision: 60}) {
 		t.Errorf("%+v", txn)
 	}
 }
@@ -414,7 +288,7 @@
 	}
 }
 
-// TestAnnouncements: what a sibling knows counts for the link on which it said so:
+// TestAnnouncements: what a peer knows counts for the link on which it said so:
 // a process that comes back as an older version says nothing, and a word that was
 // held back on an earlier link does not speak for it.
 func TestAnnouncements(t *testing.T) {
--- a/internal/coordination/fleet_size_test.go
+++ b/internal/coordination/fleet_size_test.go
@@ -26,7 +26,7 @@
 }
 
 // TestTakeoverIsPaced: a new leader of two thousand machines calls no more of
-// them than its share of a core allows, and renews its claim meanwhile. One that
+// them than its share of a core allows, and renews its leader lease meanwhile. One that
 // called all at once did not come to renew it and was replaced, and so in turn.
 func TestTakeoverIsPaced(t *testing.T) {
 	l := fullFleet(0)
@@ -34,7 +34,7 @@
 	n.cfg.Cluster.Resources = bigResources
 	l.calls = n.workerCalls()
 	for _, m := range l.roster {
-		m.reported, m.fresh, m.lastReport = false, false, time.Time{}
+		m.reported, m.tokenConfirmed, m.lastReport = false, false, time.Time{}
 	}
 	start := n.now
 	calls, renewals := 0, 0
@@ -54,7 +54,7 @@
 			case ok && r.To == ToWorker:
 				calls++
 				open[r.ID] = n.now
-			case ok && r.Path == protocol.RenewPath(n.claim.lease):
+			case ok && r.Path == protocol.RenewPath(n.lease.leaseID):
 				renewals++
 				n.pending[r.ID](200, nil)
 			}
@@ -87,7 +87,7 @@
 	if sockets := int(float64(bigResources.FDLimit) * tuning.WorkerSockets); probes == 0 || probes > sockets/2 {
 		t.Fatalf("%d probes at once", probes)
 	}
-	for _, c := range sortedCopies(l.roster[0]) {
+	for _, c := range sortedAttempts(l.roster[0]) {
 		l.stop(c, 0)
 	}
 	l.sendDirect()
@@ -105,7 +105,7 @@
 	}
 	n := l.n
 	n.cfg.Cluster.State.WriteRPS = 2
-	n.setShares()
+	n.setBudgets()
 	j := l.testJob(gangOf(1, 1))
 	l.setDone(j, 0)
 	for range 30 {
@@ -129,8 +129,8 @@
 	for i, writer := range []string{n.unique(), "other-1", "other-2"} {
 		s := gangOf(1, 1)
 		s.ID, s.Priority = fmt.Sprintf("run-%06d", 50+i), "high"
-		watch.Events = append(watch.Events, protocol.WatchEvent{Set: bookkeeping.JobKey(s.ID), Stamp: uint64(80 + i),
-			Value: bookkeeping.Encode(bookkeeping.Job{Writer: writer, Spec: &s, Chunk: 60})})
+		watch.Events = append(watch.Events, protocol.WatchEvent{Set: bookkeeping.JobKey(s.ID), Revision: uint64(80 + i),
+			Value: bookkeeping.Encode(bookkeeping.Job{Writer: writer, Spec: &s, RecordTasks: 60})})
 	}
 	n.mirror.BeginLoad()
 	n.mirror.LoadPage(&protocol.Entries{Revision: 70})
@@ -140,8 +140,8 @@
 	}
 }
 
-// TestStandstill: a leader that stood still for seconds, its clocks running on,
-// answers no report, sends no order and writes nothing before its claim was
+// TestStandstill: a leader that was paused for seconds, its clocks running on,
+// answers no report, sends no order and writes nothing before its leader lease was
 // renewed; one whose claim must have lapsed meanwhile leads no more.
 func TestStandstill(t *testing.T) {
 	l := testLeader(time.Unix(1_800_000_000, 0))
@@ -149,7 +149,7 @@
 	m := l.testMachine("i-1", "big", "a", false)
 	report := func(id uint64) Event {
 		m.seq++
-		return WorkerReport{ID: id, Report: &protocol.Report{Machine: m.id, Address: "h:1", Type: "big", Zone: "a", Session: 1, Seq: m.seq + 10, Token: n.claim.term}}
+		return WorkerReport{ID: id, Report: &protocol.Report{Machine: m.id, Address: "h:1", Type: "big", Zone: "a", Session: 1, Seq: m.seq + 10, Token: n.lease.term}}
 	}
 	status := func(out []Action, id uint64) int {
 		for _, a := range out {
@@ -176,24 +176,24 @@
 			t.Errorf("it writes %s", r.Body)
 		}
 	}
-	if len(j.copies) > 0 {
-		t.Errorf("%d tasks placed", len(j.copies))
+	if len(j.attempts) > 0 {
+		t.Errorf("%d tasks placed", len(j.attempts))
 	}
-	_, renewals := sentTo(out, ToClaim, protocol.RenewPath(n.claim.lease))
+	_, renewals := sentTo(out, ToLeaderLease, protocol.RenewPath(n.lease.leaseID))
 	if renewals != 1 {
 		t.Fatalf("%d renewals", renewals)
 	}
 	renew := Request{}
 	for _, a := range out {
-		if r, ok := a.(Request); ok && r.Path == protocol.RenewPath(n.claim.lease) {
+		if r, ok := a.(Request); ok && r.Path == protocol.RenewPath(n.lease.leaseID) {
 			renew = r
 		}
 	}
 	out = n.Step(n.now.Add(time.Millisecond), []Event{Response{ID: renew.ID, Status: 200}, report(2)})
-	if got := status(out, 2); got != 200 || !n.acting() {
+	if got := status(out, 2); got != 200 || !n.mayAct() {
 		t.Errorf("after the renewal a report is answered %d", got)
 	}
-	n.Step(n.now.Add(n.claimTTL()+n.grace()+time.Second), nil)
+	n.Step(n.now.Add(n.leaseTTL()+n.grace()+time.Second), nil)
 	if n.Leading() {
 		t.Error("leads on a claim that has lapsed")
 	}
@@ -208,14 +208,14 @@
 	n.stepDown("a test")
 	n.peers = map[string]*peer{"first": {up: true}, "second": {up: true}}
 	lead := func(name string, stamp uint64) {
-		n.claimSeen(bookkeeping.Encode(bookkeeping.Claim{Node: name}), stamp)
+		n.leaseObserved(bookkeeping.Encode(bookkeeping.LeaderLease{Node: name}), stamp)
 	}
 	seq := uint64(0)
 	send := func(after time.Duration) string {
 		seq++
 		for _, p := range n.peers {
 			p.heard = n.now.Add(after)
-			p.status = protocol.PeerStatus{Term: n.claim.stamp, Leader: n.claim.holder, Keeps: tuning.KeepsAll, Links: []string{"first", "second"}}
+			p.status = protocol.PeerStatus{Term: n.lease.revision, Leader: n.lease.holder, DirectShare: tuning.DirectAll, Links: []string{"first", "second"}}
 		}
 		out := n.Step(n.now.Add(after), []Event{WorkerReport{ID: seq, Report: &protocol.Report{Machine: "i-1", Session: 1, Seq: seq}}})
 		for _, a := range out {
@@ -238,7 +238,7 @@
 		want  string
 	}{
 		{time.Second, "421"}, {5 * time.Second, "carried to first"}, {5 * time.Second, "carried to first"},
-		{tuning.RelayMemory, "421"}, {5 * time.Second, "carried to first"},
+		{tuning.RedirectMemory, "421"}, {5 * time.Second, "carried to first"},
 	} {
 		if got := send(step.after); got != step.want {
 			t.Errorf("report %d: %s, want %s", i, got, step.want)
@@ -250,7 +250,7 @@
 	}
 }
 
-// TestRenewedBeforeTakeover: a node that has won the claim renews it before it
+// TestRenewedBeforeTakeover: a node that has won the leader lease renews it before it
 // reads the records, which takes a small controller a second, and plans nothing in
 // the step in which it does.
 func TestRenewedBeforeTakeover(t *testing.T) {
@@ -259,7 +259,7 @@
 	n.stepDown("a test")
 	n.mirror.BeginLoad()
 	n.mirror.LoadPage(&protocol.Entries{Revision: 1})
-	n.claim.holder, n.claim.stamp = "", 0
+	n.lease.holder, n.lease.revision = "", 0
 	n.now = n.now.Add(time.Second)
 	request := func(out []Action, path string) Request {
 		t.Helper()
@@ -275,7 +275,7 @@
 	grant := request(out, protocol.PathLeases)
 	out = n.Step(n.now, []Event{Response{ID: grant.ID, Status: 200, Body: []byte(`{"permit":5}`)}})
 	claim := request(out, protocol.PathTxn)
-	n.claimSeen(bookkeeping.Encode(bookkeeping.Claim{Node: "n"}), 9)
+	n.leaseObserved(bookkeeping.Encode(bookkeeping.LeaderLease{Node: "n"}), 9)
 	out = n.Step(n.now, []Event{Response{ID: claim.ID, Status: 200, Body: []byte(`{"ledger":9}`)}})
 	renewal := request(out, protocol.RenewPath(5))
 	if n.Leading() {
@@ -288,7 +288,7 @@
 		}
 	}
 	n.Step(n.now.Add(10*time.Millisecond), []Event{Response{ID: renewal.ID, Status: 200, Body: []byte(`{}`)}})
-	if !n.Leading() || !n.acting() || n.lead.planAt != (time.Time{}) {
+	if !n.Leading() || !n.mayAct() || n.lead.planAt != (time.Time{}) {
 		t.Fatalf("leads %v, planned at %v", n.Leading(), n.lead.planAt)
 	}
 	answered := false
@@ -302,7 +302,7 @@
 	}
 }
 
-// TestAuthorityBound: whatever the share of a core, a claim that outlives its last
+// TestAuthorityBound: whatever the share of a core, a leader lease that outlives its last
 // renewal for longer takes it from the grace: what a leader that was cut off kept
 // alive is gone within the time that a cancellation may take.
 func TestAuthorityBound(t *testing.T) {
@@ -310,10 +310,10 @@
 		l := testLeader(time.Unix(1_800_000_000, 0))
 		l.n.cfg.Cluster.Resources.Cores = cores
 		w := l.n.cfg.Cluster.Workers
-		if got, most := l.n.claimTTL()+l.n.grace()+seconds(w.LeaseS), seconds(w.CancelS)-tuning.AuthorityMargin+tuning.ClaimTTL; got > most {
+		if got, most := l.n.leaseTTL()+l.n.grace()+seconds(w.LeaseS), seconds(w.CancelS)-tuning.AuthorityMargin+tuning.LeaderLeaseTTL; got > most {
 			t.Errorf("%v of a core: tasks stay for %v, at most %v", cores, got, most)
 		}
-		if ttl := l.n.claimTTL(); ttl < tuning.ClaimTTL || ttl > tuning.ClaimTTL+tuning.TakeoverMost {
+		if ttl := l.n.leaseTTL(); ttl < tuning.LeaderLeaseTTL || ttl > tuning.LeaderLeaseTTL+tuning.TakeoverMost {
 			t.Errorf("%v of a core: a claim of %v", cores, ttl)
 		}
 	}
--- a/internal/coordination/rooms_test.go
+++ b/internal/coordination/machine_records_test.go
@@ -34,8 +34,8 @@
 		if n := len(c.Value); float64(n) > l.n.cfg.Cluster.State.ValueKB*1024 {
 			t.Errorf("a record of %d bytes", n)
 		}
-		rec, _ := parse[bookkeeping.Rack](c.Value)
-		next.loadRack(c.Set, 99, &rec)
+		rec, _ := parse[bookkeeping.MachineRecord](c.Value)
+		next.loadMachineRecord(c.Set, 99, &rec)
 	}
 	for _, id := range names {
 		if m := next.machines[id]; m == nil || !m.recorded || !l.machines[id].recorded {
@@ -56,12 +56,12 @@
 			t.Errorf("%s is written again", c.Set)
 		}
 	}
-	if len(next.racks) != 0 {
-		t.Errorf("%d racks are left", len(next.racks))
+	if len(next.machineRecords) != 0 {
+		t.Errorf("%d racks are left", len(next.machineRecords))
 	}
 }
 
-// TestRecordedPlaceOfDeletedMachine: a machine leaves its room record only after
+// TestRecordedPlaceOfDeletedMachine: a machine leaves its machine record only after
 // its deletion was answered, so a place on a machine that no record has is
 // proven gone; a new leader need not wait for the lease to lapse.
 func TestRecordedPlaceOfDeletedMachine(t *testing.T) {
@@ -69,16 +69,16 @@
 		n := testLeader(time.Unix(1_800_000_000, 0)).n
 		s := gangOf(1, 1)
 		s.ID, s.Priority = "run-000077", "normal"
-		entries := []protocol.Entry{{Key: bookkeeping.JobKey(s.ID), Stamp: 9, Value: bookkeeping.Encode(bookkeeping.Job{Spec: &s, Seq: 5, Attempt: 3, Chunk: 60,
+		entries := []protocol.Entry{{Key: bookkeeping.JobKey(s.ID), Revision: 9, Value: bookkeeping.Encode(bookkeeping.Job{Spec: &s, Seq: 5, Attempt: 3, RecordTasks: 60,
 			Tasks: []bookkeeping.Task{{Index: 0, Attempt: 3, Machine: "i-1", Session: 1}}})}}
 		if recorded {
-			entries = append(entries, protocol.Entry{Key: bookkeeping.RackKey("r"), Stamp: 4,
-				Value: bookkeeping.Encode(bookkeeping.Rack{Machines: []bookkeeping.Room{{ID: "i-1", Address: "h:1", Type: "big", Zone: "a"}}})})
+			entries = append(entries, protocol.Entry{Key: bookkeeping.MachineRecordKey("r"), Revision: 4,
+				Value: bookkeeping.Encode(bookkeeping.MachineRecord{Machines: []bookkeeping.MachineEntry{{ID: "i-1", Address: "h:1", Type: "big", Zone: "a"}}})})
 		}
 		n.mirror.BeginLoad()
 		n.mirror.LoadPage(&protocol.Entries{Items: entries, Revision: 10})
 		n.takeOver()
-		if got := len(n.lead.jobs[s.ID].copies); (got == 1) != recorded {
+		if got := len(n.lead.jobs[s.ID].attempts); (got == 1) != recorded {
 			t.Errorf("recorded %v: %d copies", recorded, got)
 		}
 	}
--- /dev/null
+++ b/internal/coordination/machine_types.go
@@ -0,0 +1,72 @@
+package coordination
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// tickTypes keeps the price list: every node needs the types to judge
+// submissions, the leader the prices too.
+func (n *Node) tickTypes() {
+	every := tuning.TypesEvery
+	if n.lead == nil && len(n.types) > 0 {
+		every *= 4
+	}
+	if !n.typesAt.IsZero() && n.now.Before(n.typesAt) {
+		return
+	}
+	n.typesAt = n.now.Add(tuning.CloudTimeout + time.Second)
+	n.request(ToCloud, "", "GET", protocol.PathMachineTypes, nil, tuning.CloudTimeout, func(status int, body []byte) {
+		var list protocol.MachineTypes
+		if status != 200 || json.Unmarshal(body, &list) != nil || len(list.Types) == 0 {
+			n.typesAt = n.now.Add(time.Second)
+			return
+		}
+		n.typesAt = n.now.Add(every)
+		n.takeTypes(&list)
+		n.recordTypes(&list)
+	})
+}
+
+func (n *Node) takeTypes(list *protocol.MachineTypes) {
+	for i := range list.Types {
+		t := &list.Types[i]
+		if old := n.types[t.Name]; old != nil {
+			*old = *t // machines point to their type
+		} else {
+			n.types[t.Name] = t
+		}
+	}
+}
+
+// recordTypes records the machine types, so that a node that starts while the
+// cloud does not answer can judge submissions all the same.
+func (n *Node) recordTypes(list *protocol.MachineTypes) {
+	if n.lead == nil {
+		return
+	}
+	e, _ := n.mirror.Get(bookkeeping.TypesKey)
+	if known, ok := parse[protocol.MachineTypes](e.Value); ok && slices.EqualFunc(known.Types, list.Types, sameType) {
+		return
+	}
+	value := bookkeeping.Encode(list)
+	if float64(len(value)) > n.cfg.Cluster.State.ValueKB*1024 {
+		return
+	}
+	n.state("POST", protocol.PathTxn, protocol.Txn{
+		If:   []protocol.Condition{{Key: bookkeeping.LeaderKey, Revision: n.lease.term}},
+		Then: []protocol.Change{{Set: bookkeeping.TypesKey, Value: value}},
+	}, func(int, []byte) {})
+}
+
+// sameType compares what does not move with the market.
+func sameType(a, b protocol.MachineType) bool {
+	a.SpotPrice = b.SpotPrice
+	return reflect.DeepEqual(a, b)
+}
--- /dev/null
+++ b/internal/coordination/metrics.go
@@ -0,0 +1,19 @@
+package coordination
+
+// Metrics are the node's counters, read after a step.
+type Metrics struct {
+	Term, Commits, CommitConflicts, Sheds, Repairs, Preemptions, Starts uint64
+	Machines, Waiting                                                   int
+	CommitSeconds, WaitSeconds                                          []float64 // since the last step
+}
+
+// TakeMetrics returns the counters and forgets the observations.
+func (n *Node) TakeMetrics() Metrics {
+	m := n.metrics
+	n.metrics.CommitSeconds, n.metrics.WaitSeconds = nil, nil
+	if n.lead != nil {
+		m.Machines, m.Waiting = len(n.lead.machines), n.lead.waiting
+		m.Term = n.lease.term
+	}
+	return m
+}
--- /dev/null
+++ b/internal/coordination/mirror_sync.go
@@ -0,0 +1,177 @@
+package coordination
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// tickMirror keeps the mirror loaded and its watch open.
+func (n *Node) tickMirror() {
+	if !n.mirror.Ready() {
+		if !n.loading && !n.now.Before(n.loadAt) {
+			n.loading = true
+			n.mirror.BeginLoad()
+			n.loadSent = n.now
+			n.loadPage("")
+		}
+		return
+	}
+	n.reopenStuckWatch()
+	if n.watching || n.now.Before(n.watchAt) {
+		return
+	}
+	n.watching = true
+	n.watchSent = n.now
+	path := protocol.WatchPath(bookkeeping.LivePrefix, n.mirror.Revision, tuning.WatchBlock.Milliseconds())
+	sent := n.now
+	n.request(ToState, "", "GET", path, nil, tuning.WatchBlock+tuning.WatchOverrun, func(status int, body []byte) {
+		n.watched(sent, status, body)
+	})
+}
+
+// observedRevision is a revision that the state service had when a request sent at that
+// time was carried out, or later.
+type observedRevision struct {
+	revision uint64
+	sentAt   time.Time
+}
+
+// awaitRevision takes the revision that the answer to a request gave: once the mirror
+// has come as far, it holds every change made before the request was sent.
+func (n *Node) awaitRevision(s observedRevision) {
+	switch {
+	case s.revision <= n.mirror.Revision:
+		n.markSynced(s.sentAt)
+	case n.awaited.revision <= n.mirror.Revision:
+		n.awaited = s // one at a time, or a steady stream of changes would never be caught up with
+	}
+}
+
+func (n *Node) markSynced(at time.Time) {
+	if at.After(n.syncedAt) {
+		n.syncedAt = at
+	}
+}
+
+// fetchRevision asks how far the records have come. Renewing the leader lease proves only
+// the leader lease: the watch may hang, and somebody may have confirmed cancellations.
+func (n *Node) fetchRevision() {
+	sent := n.now
+	txn := protocol.Txn{If: []protocol.Condition{{Key: bookkeeping.LeaderKey, Revision: n.lease.term}}}
+	n.state("POST", protocol.PathTxn, txn, func(status int, body []byte) {
+		if a, ok := parse[protocol.TxnAnswer](body); ok && (status == 200 || status == 409) && a.Revision != 0 {
+			n.awaitRevision(observedRevision{a.Revision, sent})
+		}
+	})
+}
+
+// reopenStuckWatch opens another watch when the one that is open does not show what
+// the state service is known to have; its answer is taken all the same.
+func (n *Node) reopenStuckWatch() {
+	if n.awaited.revision > n.mirror.Revision && n.watching &&
+		n.now.Sub(n.awaited.sentAt) >= tuning.WatchStuck && n.now.Sub(n.watchSent) >= tuning.WatchStuck {
+		n.log.Info("watch does not keep up", "revision", n.mirror.Revision, "ahead", n.awaited.revision)
+		n.watching, n.watchAt = false, n.now
+	}
+}
+
+func (n *Node) loadPage(after string) {
+	n.state("GET", protocol.RangePath(bookkeeping.LivePrefix, after, tuning.RangePage), nil, func(status int, body []byte) {
+		var page protocol.Entries
+		if status != 200 || json.Unmarshal(body, &page) != nil {
+			n.loading, n.loadAt = false, n.now.Add(tuning.RetryPause)
+			return
+		}
+		if next := n.mirror.LoadPage(&page); next != "" {
+			n.loadPage(next)
+			return
+		}
+		n.loading = false
+		n.markSynced(n.loadSent)
+		n.log.Info("mirror loaded", "keys", n.mirror.Len(), "revision", n.mirror.Revision)
+		n.mirrorLoaded()
+	})
+}
+
+func (n *Node) watched(sent time.Time, status int, body []byte) {
+	if sent.Equal(n.watchSent) {
+		n.watching = false
+	}
+	var w protocol.WatchAnswer
+	switch {
+	case status == 410:
+		// Too far behind: read everything again. A leader cannot tell what it
+		// missed, so it leads no further on this mirror.
+		n.stepDown("watch too old")
+		n.mirror = bookkeeping.Mirror{}
+		return
+	case status != 200 || json.Unmarshal(body, &w) != nil:
+		n.watchAt = n.now.Add(tuning.RetryPause)
+		return
+	}
+	for i := range w.Events {
+		ev := &w.Events[i]
+		if n.mirror.Apply(ev) {
+			if ev.Set != "" && !n.isOwnWrite(ev.Value) {
+				n.countWrite()
+			}
+			n.changed(ev)
+		}
+	}
+	n.mirror.Revision = max(n.mirror.Revision, w.Revision)
+	n.markSynced(sent)
+	if n.awaited.revision <= n.mirror.Revision {
+		n.markSynced(n.awaited.sentAt)
+	}
+	pause := tuning.WatchPause // the leader's: jobs wait for it
+	if n.lead == nil {
+		pause = n.requestPause(pause, tuning.WatchShare)
+	}
+	n.watchAt = n.now.Add(pause)
+	n.tickMirror()
+}
+
+// requestPause is the pause before a request that can wait, longer the smaller the
+// share of a core is.
+func (n *Node) requestPause(least time.Duration, share float64) time.Duration {
+	return max(least, min(n.cfg.Cluster.Resources.Pause(tuning.RequestCost, share), tuning.RequestPause))
+}
+
+// mirrorLoaded looks at the leader lease after a full load.
+func (n *Node) mirrorLoaded() {
+	if e, ok := n.mirror.Get(bookkeeping.TypesKey); ok && len(n.types) == 0 {
+		if list, ok := parse[protocol.MachineTypes](e.Value); ok {
+			n.takeTypes(&list)
+		}
+	}
+	e, ok := n.mirror.Get(bookkeeping.LeaderKey)
+	if !ok {
+		n.leaseReleased()
+		return
+	}
+	n.leaseObserved(e.Value, e.Revision)
+}
+
+// changed passes on one change that the mirror took.
+func (n *Node) changed(ev *protocol.WatchEvent) {
+	key := ev.Set + ev.Delete
+	if key == bookkeeping.LeaderKey {
+		if ev.Set == "" {
+			n.leaseReleased()
+		} else {
+			n.leaseObserved(ev.Value, ev.Revision)
+		}
+		return
+	}
+	if isRelayKey(key) {
+		n.receiveRelayed(ev)
+		return
+	}
+	if n.lead != nil {
+		n.lead.changed(ev)
+	}
+}
--- a/internal/coordination/pass.go
+++ b/internal/coordination/pass.go
@@ -20,8 +20,8 @@
 // supply is the most that a zone could give to a job: what is free or on its
 // way out, and what runs there, by its priority.
 type supply struct {
-	free room
-	work [protocol.RankCritical + 1]room
+	free resources
+	work [protocol.RankCritical + 1]resources
 }
 
 // newPass looks every machine over.
@@ -31,31 +31,31 @@
 		p.most = max(p.most, int(cores*float64(tuning.PassLength/tuning.LookCost)))
 	}
 	for _, m := range l.roster {
-		if !l.open(m) {
+		if !l.takesTasks(m) {
 			continue
 		}
 		p.open = append(p.open, m)
-		if m.roomy(l.kind(m)) {
+		if m.hasFree(l.kind(m)) {
 			p.vacant = append(p.vacant, m)
 		}
 	}
 	return p
 }
 
-// present is the pass under way, or one just for the caller.
-func (l *leader) present() *pass {
+// currentPass is the pass under way, or one just for the caller.
+func (l *leader) currentPass() *pass {
 	if l.pass != nil {
 		return l.pass
 	}
 	return l.newPass()
 }
 
-// spent says whether the pass has looked at so much that the rest of the queue
+// isExhausted says whether the pass has looked at so much that the rest of the queue
 // takes its turn at making room in the next one.
-func (p *pass) spent() bool { return p.looks >= p.most }
+func (p *pass) isExhausted() bool { return p.looks >= p.most }
 
-// supplies adds up what the zones could give.
-func (l *leader) supplies(p *pass) map[string]*supply {
+// zoneSupplies adds up what the zones could give.
+func (l *leader) zoneSupplies(p *pass) map[string]*supply {
 	if p.supply != nil {
 		return p.supply
 	}
@@ -67,48 +67,48 @@
 			s = &supply{}
 			p.supply[m.zone] = s
 		}
-		s.free.plus(l.left(m))
-		for _, c := range m.copies {
+		s.free.add(l.freeResources(m))
+		for _, c := range m.attempts {
 			if c.stop {
-				s.free.add(c.j.spec, 1)
+				s.free.addTasks(c.j.spec, 1)
 			} else {
-				s.work[c.j.rank].add(c.j.spec, 1)
+				s.work[c.j.rank].addTasks(c.j.spec, 1)
 			}
 		}
 	}
 	return p.supply
 }
 
-// hopeless says that no search can make room for n tasks of a job: all that
+// cannotMakeRoom says that no search can make room for n tasks of a job: all that
 // may be stopped for it, whoever runs it, and all that is free are not enough.
 // With the machines full of work that does not yield, which is when most jobs
 // wait, this spares a look at every machine for each of them.
-func (l *leader) hopeless(j *job, n int) bool {
+func (l *leader) cannotMakeRoom(j *job, n int) bool {
 	if !j.spec.Gang() {
 		n = 1
 	}
 	yielding := j.rank // work below this priority may be stopped
-	if j.entitled {
+	if j.mayReclaim {
 		yielding++
 	}
 	if yielding == protocol.RankIdle && !j.spec.Gang() {
 		return true
 	}
-	var all room
-	for zone, s := range l.supplies(l.present()) {
+	var all resources
+	for zone, s := range l.zoneSupplies(l.currentPass()) {
 		if j.spec.Zone != "" && zone != j.spec.Zone {
 			continue
 		}
 		r := s.free
 		for rank := protocol.RankIdle; rank < yielding && int(rank) < len(s.work); rank++ {
-			r.plus(s.work[rank])
+			r.add(s.work[rank])
 		}
-		if r.holds(j.spec, n) == n {
+		if r.fit(j.spec, n) == n {
 			return false
 		}
-		all.plus(r)
+		all.add(r)
 	}
-	return j.spec.OneZone || all.holds(j.spec, n) < n
+	return j.spec.OneZone || all.fit(j.spec, n) < n
 }
 
 // planPause is the pause after a pass over the queue: longer the more machines
--- a/internal/coordination/pass_test.go
+++ b/internal/coordination/pass_test.go
@@ -12,7 +12,7 @@
 // TestPassIsBounded: with two thousand machines full of work, a pass over a long
 // queue looks at each machine a few times, not once for every job, and every
 // job still has its turn at a search. Unbounded passes once took longer than
-// the claim lasts; each new leader fared no better than the last.
+// the leader lease lasts; each new leader fared no better than the last.
 func TestPassIsBounded(t *testing.T) {
 	for _, high := range []bool{true, false} {
 		l := fullFleet(0)
@@ -69,10 +69,10 @@
 		s.Zone = "a"
 		j := l.testJob(s)
 		l.schedule()
-		if placed := len(j.copies) == 1; placed != (gpus == 0) {
+		if placed := len(j.attempts) == 1; placed != (gpus == 0) {
 			t.Errorf("%v GPUs: placed %v", gpus, placed)
 		}
-		if len(j.copies) == 0 {
+		if len(j.attempts) == 0 {
 			l.fleet.demand = []demand{{j, 1}}
 		}
 		l.rent()
--- a/internal/coordination/placement_test.go
+++ b/internal/coordination/placement_test.go
@@ -13,128 +13,6 @@
 	"github.com/gappond/gappond/internal/tuning"
 )
 
-// buddyModel is the classical allocator: lists of free blocks by order, split
-// on allocation and merged with their buddies on release.
-type buddyModel struct {
-	n    int
-	free map[int]map[int]bool // order -> starts
-}
-
-func newBuddyModel(n int) *buddyModel {
-	m := &buddyModel{n: n, free: map[int]map[int]bool{}}
-	for i := range n {
-		m.release(i)
-	}
-	return m
-}
-
-func (m *buddyModel) release(start int) {
-	k := 0
-	for {
-		buddy := start ^ 1<<k
-		if m.free[k][buddy] {
-			delete(m.free[k], buddy)
-			start &^= 1 << k
-			k++
-			continue
-		}
-		if m.free[k] == nil {
-			m.free[k] = map[int]bool{}
-		}
-		m.free[k][start] = true
-		return
-	}
-}
-
-// take removes one slot, splitting the block that holds it.
-func (m *buddyModel) take(slot int) bool {
-	for k, starts := range m.free {
-		for start := range starts {
-			if slot < start || slot >= start+1<<k {
-				continue
-			}
-			delete(starts, start)
-			for i := start; i < start+1<<k; i++ {
-				if i != slot {
-					m.release(i)
-				}
-			}
-			return true
-		}
-	}
-	return false
-}
-
-// smallest is the order of the smallest free block of at least order k, or -1.
-func (m *buddyModel) smallest(k int) int {
-	for ; k < 16; k++ {
-		if len(m.free[k]) > 0 {
-			return k
-		}
-	}
-	return -1
-}
-
-func (m *buddyModel) aligned(k int) int {
-	n := 0
-	for o, starts := range m.free {
-		if o >= k {
-			n += len(starts) << (o - k)
-		}
-	}
-	return n
-}
-
-// TestBuddyAgainstModel compares the slot map with the classical allocator.
-func TestBuddyAgainstModel(t *testing.T) {
-	rng := rand.New(rand.NewPCG(1, 2))
-	for range 300 {
-		n := 1 + rng.IntN(20)
-		b, m := newBuddy(n), newBuddyModel(n)
-		var held [][]int
-		for range 60 {
-			if len(held) > 0 && rng.IntN(2) == 0 {
-				i := rng.IntN(len(held))
-				b.release(held[i])
-				for _, s := range held[i] {
-					m.release(s)
-				}
-				held = append(held[:i], held[i+1:]...)
-			} else {
-				size := 1 + rng.IntN(5)
-				k := order(size)
-				from := m.smallest(k)
-				free := b.free
-				got := b.carve(size)
-				if want := min(size, free); len(got) != want {
-					t.Fatalf("%d of %d slots for %d with %d free", len(got), n, size, free)
-				}
-				if from >= 0 {
-					// An aligned block: it starts at a multiple of its size and
-					// lies in a free block of the smallest order there was.
-					if got[0]%(1<<k) != 0 || got[len(got)-1] != got[0]+size-1 {
-						t.Fatalf("%v is not an aligned block of order %d", got, k)
-					}
-					if !m.free[from][got[0]>>from<<from] {
-						t.Fatalf("%v is not from a free block of order %d: %v", got, from, m.free)
-					}
-				}
-				for _, s := range got {
-					if !m.take(s) {
-						t.Fatalf("slot %d was not free", s)
-					}
-				}
-				held = append(held, got)
-			}
-			for k := range 5 {
-				if b.aligned(k) != m.aligned(k) {
-					t.Fatalf("%d slots, order %d: %d blocks, the model has %d", n, k, b.aligned(k), m.aligned(k))
-				}
-			}
-		}
-	}
-}
-
 var bigType = protocol.MachineType{Name: "big", CPUs: 32, GPUs: 4, MemoryGB: 256, CacheGB: 100, FetchGBPerS: 1, Price: 10, SpotPrice: 3, BootS: 30, Zones: []string{"a", "b", "c"}}
 var smallType = protocol.MachineType{Name: "small", CPUs: 16, GPUs: 2, MemoryGB: 128, CacheGB: 100, FetchGBPerS: 1, Price: 6, SpotPrice: 2, BootS: 30, Zones: []string{"a", "b"}}
 
@@ -147,16 +25,16 @@
 	n := New(cfg, slog.New(slog.DiscardHandler), 1, "boot")
 	n.now = now
 	n.types["big"], n.types["small"] = &bigType, &smallType
-	n.claim.term, n.claim.renewed, n.known = 7, now, now
+	n.lease.term, n.lease.renewedAt, n.syncedAt = 7, now, now
 	n.takeOver()
 	return n.lead
 }
 
 func (l *leader) testMachine(id, typeName, zone string, spot bool) *machine {
 	m := l.machine(id, "h:1", typeName, zone, spot)
-	l.assignRack(m)
-	m.rack.stamp = 1
-	m.recorded, m.reported, m.fresh, m.session, m.lastReport, m.answered = true, true, true, 1, l.n.now, l.n.now
+	l.assignMachineRecord(m)
+	m.record.revision = 1
+	m.recorded, m.reported, m.tokenConfirmed, m.session, m.lastReport, m.answered = true, true, true, 1, l.n.now, l.n.now
 	l.kind(m)
 	return m
 }
@@ -166,7 +44,7 @@
 	if s.Priority == "" {
 		s.Priority = "normal"
 	}
-	return l.addJob(&bookkeeping.Job{Spec: &s, AtMs: l.n.now.UnixMilli(), Chunk: 60}, uint64(len(l.jobs)+10))
+	return l.addJob(&bookkeeping.Job{Spec: &s, AtMs: l.n.now.UnixMilli(), RecordTasks: 60}, uint64(len(l.jobs)+10))
 }
 
 // TestPlacementConstraints places generated jobs on generated fleets. Every
@@ -201,8 +79,8 @@
 			j := l.testJob(s)
 			if !j.spec.Gang() {
 				waiting := l.placeArray(j, false)
-				if waiting+len(j.copies) != s.Tasks {
-					t.Fatalf("round %d: %d wait and %d are placed of %d", round, waiting, len(j.copies), s.Tasks)
+				if waiting+len(j.attempts) != s.Tasks {
+					t.Fatalf("round %d: %d wait and %d are placed of %d", round, waiting, len(j.attempts), s.Tasks)
 				}
 				l.checkPlacement(t, j)
 				continue
@@ -216,11 +94,11 @@
 				continue
 			}
 			placed++
-			if len(j.copies) != s.Tasks {
-				t.Fatalf("round %d: a gang of %d has %d places", round, s.Tasks, len(j.copies))
+			if len(j.attempts) != s.Tasks {
+				t.Fatalf("round %d: a gang of %d has %d places", round, s.Tasks, len(j.attempts))
 			}
 			machines, zones := map[string]bool{}, map[string]bool{}
-			for _, c := range j.copies {
+			for _, c := range j.attempts {
 				machines[c.m.id], zones[c.m.zone] = true, true
 			}
 			if machine && len(machines) > 1 || zone && len(zones) > 1 {
@@ -236,7 +114,7 @@
 
 // couldHold works out by counting which domains could hold a gang.
 func (l *leader) couldHold(j *job) (machine, zone, region bool) {
-	if l.teamRoom(j) < len(j.tasks) {
+	if l.teamQuota(j) < len(j.tasks) {
 		return false, false, false
 	}
 	s, g := j.spec, len(j.tasks)
@@ -245,7 +123,7 @@
 		if !l.usable(j, m) {
 			continue
 		}
-		n := l.left(m).holds(s, g)
+		n := l.freeResources(m).fit(s, g)
 		perZone[m.zone] += n
 		machine = machine || n >= g
 	}
@@ -266,7 +144,7 @@
 func (l *leader) checkPlacement(t *testing.T, j *job) {
 	t.Helper()
 	zones := map[string]int{}
-	for _, c := range j.copies {
+	for _, c := range j.attempts {
 		m := c.m
 		zones[m.zone]++
 		if !allows(j.spec, m.typeName, m.zone, m.spot) {
@@ -281,12 +159,12 @@
 			t.Fatalf("%+v in %v", j.spec, zones)
 		}
 	}
-	used := map[*machine]room{}
+	used := map[*machine]resources{}
 	gpus := map[string]float64{}
 	for _, o := range l.jobs {
-		for _, c := range o.copies {
+		for _, c := range o.attempts {
 			r := used[c.m]
-			r.add(o.spec, 1)
+			r.addTasks(o.spec, 1)
 			used[c.m] = r
 			gpus[o.spec.Team] += o.spec.GPUs
 		}
@@ -311,9 +189,9 @@
 	l := testLeader(time.Unix(1_800_000_000, 0))
 	empty, half := l.testMachine("i-1", "big", "a", false), l.testMachine("i-2", "big", "b", false)
 	other := l.testJob(gangOf(1, 2))
-	l.addCopy(other, 0, 1, half, 1)
+	l.addAttempt(other, 0, 1, half, 1)
 	j := l.testJob(gangOf(2, 1))
-	if !l.placeGang(j) || j.list()[0].m != half {
+	if !l.placeGang(j) || j.sortedAttempts()[0].m != half {
 		t.Errorf("not on the fuller machine")
 	}
 	l.testMachine("i-3", "big", "c", true)
@@ -322,31 +200,31 @@
 	s := gangOf(1, 4)
 	s.Spot = true
 	j = l.testJob(s)
-	if !l.placeGang(j) || j.list()[0].m != warm {
+	if !l.placeGang(j) || j.sortedAttempts()[0].m != warm {
 		t.Errorf("not on the machine with the image")
 	}
 	j = l.testJob(s)
-	if !l.placeGang(j) || j.list()[0].m.id != "i-3" {
+	if !l.placeGang(j) || j.sortedAttempts()[0].m.id != "i-3" {
 		t.Errorf("not on the cheaper machine")
 	}
-	if len(empty.copies) != 0 {
+	if len(empty.attempts) != 0 {
 		t.Errorf("the dear machine is used")
 	}
 }
 
-// TestOneZoneWithOldCopies: while old copies of a one-zone job may still be in
+// TestOneZoneWithOldCopies: while old attempts of a one-zone job may still be in
 // two zones, nothing of it starts anywhere.
-func TestOneZoneWithOldCopies(t *testing.T) {
+func TestOneZoneWithOldAttempts(t *testing.T) {
 	l := testLeader(time.Unix(1_800_000_000, 0))
 	a, b := l.testMachine("i-1", "big", "a", false), l.testMachine("i-2", "big", "b", false)
 	s := protocol.Job{Team: "free", Shape: protocol.ShapeArray, Tasks: 4, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "x", OneZone: true}
 	j := l.testJob(s)
-	l.addCopy(j, 0, 1, a, 1)
-	old := l.addCopy(j, 1, 1, b, 1)
+	l.addAttempt(j, 0, 1, a, 1)
+	old := l.addAttempt(j, 1, 1, b, 1)
 	if w := l.placeArray(j, false); w != 2 {
 		t.Errorf("%d wait", w)
 	}
-	l.drop(old)
+	l.dropAttempt(old)
 	if w := l.placeArray(j, false); w != 0 {
 		t.Errorf("%d wait once the other zone's copy is gone", w)
 	}
@@ -363,202 +241,29 @@
 	s.OneZone, s.Priority = true, "normal"
 	j := l.testJob(s)
 	l.schedule()
-	for _, c := range j.copies {
+	for _, c := range j.attempts {
 		c.committed, c.sent, c.state = true, true, protocol.TaskRunning
 	}
-	epoch := j.attempt
+	epoch := j.epoch
 	l.testMachine("i-3", "big", "a", false)
 	l.testMachine("i-4", "big", "a", false)
 	spare := l.testMachine("i-5", "big", "b", false)
 	l.forget(dead.id)
 	l.schedule()
-	if len(j.copies) != 1 || !j.stopping {
-		t.Fatalf("%d copies, stopping %v: the survivor has yet to exit", len(j.copies), j.stopping)
+	if len(j.attempts) != 1 || !j.stopping {
+		t.Fatalf("%d copies, stopping %v: the survivor has yet to exit", len(j.attempts), j.stopping)
 	}
 	if survivor.hold != j {
 		t.Error("the survivor's room is not held")
 	}
-	l.drop(j.list()[0])
+	l.dropAttempt(j.sortedAttempts()[0])
 	l.schedule()
 	on := map[*machine]bool{}
-	for _, c := range j.copies {
+	for _, c := range j.attempts {
 		on[c.m] = true
 	}
-	if !on[survivor] || !on[spare] || j.attempt != epoch+1 {
-		t.Errorf("repaired on %v at epoch %d", j.list(), j.attempt)
-	}
-}
-
-// TestPreemption: a higher priority takes what it needs and no more; work of
-// equal priority, and work within its team's guarantee, stays.
-func TestPreemption(t *testing.T) {
-	l := testLeader(time.Unix(1_800_000_000, 0))
-	m := l.testMachine("i-1", "big", "a", false)
-	s := protocol.Job{Team: "free", Shape: protocol.ShapeArray, Tasks: 4, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "x", Priority: "idle"}
-	low := l.testJob(s)
-	l.placeArray(low, false)
-	for _, c := range low.copies {
-		c.committed, c.sent, c.state = true, true, protocol.TaskRunning
-	}
-	same := gangOf(1, 2)
-	same.Priority = "idle"
-	l.testJob(same)
-	l.schedule()
-	if n := stopping(low); n != 0 {
-		t.Errorf("%d tasks yield to equal priority", n)
-	}
-	high := gangOf(1, 2)
-	high.Priority = "high"
-	l.testJob(high)
-	l.schedule()
-	if n := stopping(low); n != 2 {
-		t.Errorf("%d tasks yield where 2 do", n)
-	}
-	l.schedule()
-	if n := stopping(low); n != 2 {
-		t.Errorf("%d tasks yield after a second pass", n)
-	}
-	if m.hold == nil {
-		t.Error("the room is not held")
-	}
-}
-
-// TestDistrust: a machine on which two jobs failed takes no more tasks, and its
-// room record says so to every later leader.
-func TestDistrust(t *testing.T) {
-	l := testLeader(time.Unix(1_800_000_000, 0))
-	m := l.testMachine("i-1", "big", "a", false)
-	for range tuning.MachineErrors {
-		j := l.testJob(gangOf(1, 1))
-		c := l.addCopy(j, 0, 1, m, 1)
-		l.exited(m, c, protocol.TaskReport{Cause: protocol.CauseError})
-		l.drop(c)
-	}
-	if l.open(m) || !m.rack.queued || !m.room().Closed {
-		t.Errorf("open %v, record to be written %v", l.open(m), m.rack.queued)
-	}
-	l.judge(m, l.spares())
-	if !m.deleting {
-		t.Error("not returned once it is empty")
-	}
-}
-
-// TestBlamedJobYields: a job that failed on several machines is tried on what
-// is free, but nothing is stopped or rented for it any more.
-func TestBlamedJobYields(t *testing.T) {
-	l := testLeader(time.Unix(1_800_000_000, 0))
-	l.testMachine("i-1", "big", "a", false)
-	s := protocol.Job{Team: "free", Shape: protocol.ShapeArray, Tasks: 4, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "x", Priority: "idle"}
-	low := l.testJob(s)
-	l.placeArray(low, false)
-	high := gangOf(1, 2)
-	high.Priority = "high"
-	j := l.testJob(high)
-	for i := range tuning.JobErrors {
-		m := l.testMachine(fmt.Sprintf("i-%d", 10+i), "small", "b", false)
-		c := l.addCopy(j, 0, uint64(i+1), m, 1)
-		l.exited(m, c, protocol.TaskReport{Cause: protocol.CauseError})
-		l.drop(c)
-		m.closed = true
-		if m.distrust {
-			t.Errorf("%s is distrusted for a job that fails everywhere", m.id)
-		}
-	}
-	l.n.now = l.n.now.Add(tuning.ErrorPause)
-	l.schedule()
-	if n := stopping(low); n != 0 || len(l.fleet.demand) != 0 {
-		t.Errorf("%d tasks yield, %d jobs want machines", n, len(l.fleet.demand))
-	}
-}
-
-func stopping(j *job) (n int) {
-	for _, c := range j.copies {
-		if c.stop {
-			n++
-		}
-	}
-	return n
-}
-
-// TestGuarantee: a team within its guarantee takes machines from one beyond
-// its own, but not from higher priority and not from guaranteed work.
-func TestGuarantee(t *testing.T) {
-	for _, c := range []struct {
-		priority   string
-		guaranteed bool
-		want       int
-	}{{"normal", false, 2}, {"high", false, 0}, {"normal", true, 0}} {
-		l := testLeader(time.Unix(1_800_000_000, 0))
-		l.testMachine("i-1", "big", "a", false)
-		s := protocol.Job{Team: "free", Shape: protocol.ShapeArray, Tasks: 4, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "x", Priority: c.priority}
-		if c.guaranteed {
-			l.teams["free"].guaranteeGPUs = 4
-		}
-		other := l.testJob(s)
-		l.placeArray(other, false)
-		for _, o := range other.copies {
-			o.committed, o.sent = true, true
-		}
-		s.Team, s.Tasks, s.Priority = "tight", 2, "normal"
-		l.testJob(s)
-		l.schedule()
-		if n := stopping(other); n != c.want {
-			t.Errorf("%+v: %d tasks yield", c, n)
-		}
-	}
-}
-
-// TestGuaranteeInTurn: a job that was beyond its team's guarantee when it came,
-// and comes within it while more of its team waits, stops nobody's work: the
-// teams of an overloaded deployment would go on taking machines in turn.
-func TestGuaranteeInTurn(t *testing.T) {
-	l := testLeader(time.Unix(1_800_000_000, 0))
-	l.testMachine("i-1", "big", "a", false)
-	s := gangOf(4, 1)
-	s.Shape = protocol.ShapeArray
-	other := l.testJob(s)
-	l.placeArray(other, false)
-	for _, o := range other.copies {
-		o.committed, o.sent = true, true
-	}
-	s.Team, s.Tasks, s.Zone = "tight", 2, "b"
-	first := l.testJob(s) // takes the whole guarantee, waits for another zone
-	s.Zone = ""
-	l.testJob(s)
-	s.Tasks = 3
-	l.testJob(s)
-	l.schedule()
-	first.gone = true
-	delete(l.jobs, first.id)
-	l.schedule()
-	if n := stopping(other); n != 0 {
-		t.Errorf("%d tasks yield", n)
-	}
-}
-
-// TestBar: a gang that has waited past the time-out keeps the free machines of
-// the zone where it lacks least from smaller jobs behind it.
-func TestBar(t *testing.T) {
-	now := time.Unix(1_800_000_000, 0)
-	l := testLeader(now)
-	l.testMachine("i-1", "big", "a", false)
-	big := gangOf(2, 4)
-	big.OneZone = true
-	j := l.testJob(big)
-	l.schedule()
-	l.n.now = now.Add(l.n.cfg.Operator.BarAfter + time.Second)
-	for _, m := range l.machines {
-		m.lastReport = l.n.now
-	}
-	small := l.testJob(gangOf(1, 1))
-	l.schedule()
-	if len(small.copies) != 0 || len(j.copies) != 0 {
-		t.Errorf("the smaller job passes")
-	}
-	l.testMachine("i-2", "big", "a", false)
-	l.schedule()
-	if len(j.copies) != 2 {
-		t.Errorf("the gang is not placed when it could be")
+	if !on[survivor] || !on[spare] || j.epoch != epoch+1 {
+		t.Errorf("repaired on %v at epoch %d", j.sortedAttempts(), j.epoch)
 	}
 }
 
--- /dev/null
+++ b/internal/coordination/preemption_test.go
@@ -0,0 +1,183 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// TestPreemption: a higher priority takes what it needs and no more; work of
+// equal priority, and work within its team's guarantee, stays.
+func TestPreemption(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	s := protocol.Job{Team: "free", Shape: protocol.ShapeArray, Tasks: 4, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "x", Priority: "idle"}
+	low := l.testJob(s)
+	l.placeArray(low, false)
+	for _, c := range low.attempts {
+		c.committed, c.sent, c.state = true, true, protocol.TaskRunning
+	}
+	same := gangOf(1, 2)
+	same.Priority = "idle"
+	l.testJob(same)
+	l.schedule()
+	if n := stopping(low); n != 0 {
+		t.Errorf("%d tasks yield to equal priority", n)
+	}
+	high := gangOf(1, 2)
+	high.Priority = "high"
+	l.testJob(high)
+	l.schedule()
+	if n := stopping(low); n != 2 {
+		t.Errorf("%d tasks yield where 2 do", n)
+	}
+	l.schedule()
+	if n := stopping(low); n != 2 {
+		t.Errorf("%d tasks yield after a second pass", n)
+	}
+	if m.hold == nil {
+		t.Error("the room is not held")
+	}
+}
+
+// TestDistrust: a machine on which two jobs failed takes no more tasks, and its
+// machine record says so to every later leader.
+func TestDistrust(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	for range tuning.MachineErrors {
+		j := l.testJob(gangOf(1, 1))
+		c := l.addAttempt(j, 0, 1, m, 1)
+		l.exited(m, c, protocol.TaskReport{Cause: protocol.CauseError})
+		l.dropAttempt(c)
+	}
+	if l.takesTasks(m) || !m.record.queued || !m.entry().Cordoned {
+		t.Errorf("open %v, record to be written %v", l.takesTasks(m), m.record.queued)
+	}
+	l.considerReturn(m, l.spares())
+	if !m.deleting {
+		t.Error("not returned once it is empty")
+	}
+}
+
+// TestBlamedJobYields: a job that failed on several machines is tried on what
+// is free, but nothing is stopped or rented for it any more.
+func TestBlamedJobYields(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	l.testMachine("i-1", "big", "a", false)
+	s := protocol.Job{Team: "free", Shape: protocol.ShapeArray, Tasks: 4, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "x", Priority: "idle"}
+	low := l.testJob(s)
+	l.placeArray(low, false)
+	high := gangOf(1, 2)
+	high.Priority = "high"
+	j := l.testJob(high)
+	for i := range tuning.JobErrors {
+		m := l.testMachine(fmt.Sprintf("i-%d", 10+i), "small", "b", false)
+		c := l.addAttempt(j, 0, uint64(i+1), m, 1)
+		l.exited(m, c, protocol.TaskReport{Cause: protocol.CauseError})
+		l.dropAttempt(c)
+		m.cordoned = true
+		if m.distrust {
+			t.Errorf("%s is distrusted for a job that fails everywhere", m.id)
+		}
+	}
+	l.n.now = l.n.now.Add(tuning.ErrorPause)
+	l.schedule()
+	if n := stopping(low); n != 0 || len(l.fleet.demand) != 0 {
+		t.Errorf("%d tasks yield, %d jobs want machines", n, len(l.fleet.demand))
+	}
+}
+
+func stopping(j *job) (n int) {
+	for _, c := range j.attempts {
+		if c.stop {
+			n++
+		}
+	}
+	return n
+}
+
+// TestGuarantee: a team within its guarantee takes machines from one beyond
+// its own, but not from higher priority and not from guaranteed work.
+func TestGuarantee(t *testing.T) {
+	for _, c := range []struct {
+		priority   string
+		guaranteed bool
+		want       int
+	}{{"normal", false, 2}, {"high", false, 0}, {"normal", true, 0}} {
+		l := testLeader(time.Unix(1_800_000_000, 0))
+		l.testMachine("i-1", "big", "a", false)
+		s := protocol.Job{Team: "free", Shape: protocol.ShapeArray, Tasks: 4, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "x", Priority: c.priority}
+		if c.guaranteed {
+			l.teams["free"].guaranteeGPUs = 4
+		}
+		other := l.testJob(s)
+		l.placeArray(other, false)
+		for _, o := range other.attempts {
+			o.committed, o.sent = true, true
+		}
+		s.Team, s.Tasks, s.Priority = "tight", 2, "normal"
+		l.testJob(s)
+		l.schedule()
+		if n := stopping(other); n != c.want {
+			t.Errorf("%+v: %d tasks yield", c, n)
+		}
+	}
+}
+
+// TestGuaranteeInTurn: a job that was beyond its team's guarantee when it came,
+// and comes within it while more of its team waits, stops nobody's work: the
+// teams of an overloaded deployment would go on taking machines in turn.
+func TestGuaranteeInTurn(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	l.testMachine("i-1", "big", "a", false)
+	s := gangOf(4, 1)
+	s.Shape = protocol.ShapeArray
+	other := l.testJob(s)
+	l.placeArray(other, false)
+	for _, o := range other.attempts {
+		o.committed, o.sent = true, true
+	}
+	s.Team, s.Tasks, s.Zone = "tight", 2, "b"
+	first := l.testJob(s) // takes the whole guarantee, waits for another zone
+	s.Zone = ""
+	l.testJob(s)
+	s.Tasks = 3
+	l.testJob(s)
+	l.schedule()
+	first.gone = true
+	delete(l.jobs, first.id)
+	l.schedule()
+	if n := stopping(other); n != 0 {
+		t.Errorf("%d tasks yield", n)
+	}
+}
+
+// TestBar: a gang that has waited past the time-out keeps the free machines of
+// the zone where it lacks least from smaller jobs behind it.
+func TestReserveMachines(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	l := testLeader(now)
+	l.testMachine("i-1", "big", "a", false)
+	big := gangOf(2, 4)
+	big.OneZone = true
+	j := l.testJob(big)
+	l.schedule()
+	l.n.now = now.Add(l.n.cfg.Operator.ReserveAfter + time.Second)
+	for _, m := range l.machines {
+		m.lastReport = l.n.now
+	}
+	small := l.testJob(gangOf(1, 1))
+	l.schedule()
+	if len(small.attempts) != 0 || len(j.attempts) != 0 {
+		t.Errorf("the smaller job passes")
+	}
+	l.testMachine("i-2", "big", "a", false)
+	l.schedule()
+	if len(j.attempts) != 2 {
+		t.Errorf("the gang is not placed when it could be")
+	}
+}
--- /dev/null
+++ b/internal/coordination/reachability_test.go
@@ -0,0 +1,136 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// TestDeaf: a worker whose reports go on coming, but never show what the
+// answers told it, takes no new work; one that does not answer calls either is
+// returned, which proves its tasks gone. One that answers a call is kept.
+func TestNotReceiving(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		l := testLeader(time.Unix(1_800_000_000, 0))
+		m := l.testMachine("i-1", "big", "a", false)
+		j := l.testJob(gangOf(1, 1))
+		l.placeGang(j)
+		clear(j.dirty)
+		j.sortedAttempts()[0].committed = true
+		for range tuning.MissedAnswers + 1 {
+			l.testReport(m, l.n.lease.term)
+		}
+		if l.takesTasks(m) {
+			t.Fatal("takes new work")
+		}
+		for range 100 {
+			l.n.now = l.n.now.Add(tuning.WatchMachines)
+			l.n.lease.renewedAt, l.n.syncedAt, m.lastReport, m.answered = l.n.now, l.n.now, l.n.now, l.n.now
+			l.n.out = nil
+			l.tickMachines()
+			for _, a := range l.n.out {
+				r, ok := a.(Request)
+				if !ok || r.To != ToWorker {
+					continue
+				}
+				if answers {
+					l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.Report{Machine: m.id, Address: "h:1", Type: m.typeName,
+						Zone: m.zone, Session: 1, Seq: m.seq + 1, Token: l.n.lease.term})})
+				} else {
+					l.n.handle(Response{ID: r.ID})
+				}
+			}
+		}
+		if m.deleting == answers || l.takesTasks(m) != answers {
+			t.Errorf("answers calls %v: returned %v, takes work %v", answers, m.deleting, l.takesTasks(m))
+		}
+		if l.forget(m.id); len(j.attempts) != 0 {
+			t.Errorf("%d copies are left once it is gone", len(j.attempts))
+		}
+	}
+}
+
+// TestLeaseRanOutThoughAnswered: a newer session of a worker that was answered
+// all the time shows that the answers do not reach it.
+func TestLeaseRanOutThoughAnswered(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	for range 6 {
+		l.n.now = l.n.now.Add(4 * time.Second)
+		l.testReport(m, l.n.lease.term)
+	}
+	if !l.takesTasks(m) {
+		t.Fatal("takes no work")
+	}
+	l.n.now = l.n.now.Add(4 * time.Second)
+	l.report(&protocol.Report{Machine: m.id, Address: "h:1", Type: m.typeName, Zone: m.zone, Session: 2, Seq: 1, Token: l.n.lease.term}, true)
+	if l.takesTasks(m) {
+		t.Error("takes new work")
+	}
+}
+
+// TestSilentZone: when a whole zone falls silent its machines are not returned
+// at once, though they are only a third of all: they are back when the cut ends.
+// Two that die in a zone that goes on reporting are.
+func TestSilentZone(t *testing.T) {
+	for _, c := range []struct{ silent, returned int }{{2, 2}, {8, 0}} {
+		start := time.Unix(1_800_000_000, 0)
+		l := testLeader(start)
+		for i := range 24 {
+			l.testMachine(fmt.Sprintf("i-%02d", i), "big", []string{"a", "b", "c"}[i/8], false)
+		}
+		lease := seconds(l.n.cfg.Cluster.Workers.LeaseS)
+		returned := func(till time.Duration) (n int) {
+			for ; l.n.now.Sub(start) < till; l.n.now = l.n.now.Add(tuning.WatchMachines) {
+				l.n.lease.renewedAt, l.n.syncedAt, l.n.out = l.n.now, l.n.now, nil
+				for i, m := range l.roster {
+					if i >= c.silent {
+						m.lastReport, m.answered = l.n.now, l.n.now
+					}
+				}
+				l.tickMachines()
+				for _, a := range l.n.out {
+					if r, ok := a.(Request); ok && r.To == ToWorker {
+						l.n.handle(Response{ID: r.ID})
+					}
+				}
+			}
+			for _, m := range l.roster {
+				if m.deleting {
+					n++
+				}
+			}
+			return n
+		}
+		if n := returned(lease); n != c.returned {
+			t.Errorf("%d silent: %d returned within the lease", c.silent, n)
+		}
+		if n := returned(3*lease + seconds(bigType.BootS)); n != c.silent {
+			t.Errorf("%d silent: %d returned in the end", c.silent, n)
+		}
+	}
+}
+
+// TestMuteWorker: a worker that answers calls while no report of it comes loses
+// its tasks with its lease, so it gets none; it is asked for none of its room.
+func TestNotReporting(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	m := l.testMachine("i-1", "big", "a", false)
+	lease := seconds(l.n.cfg.Cluster.Workers.LeaseS)
+	for range int(lease / time.Second) {
+		l.n.now = l.n.now.Add(time.Second)
+		l.n.lease.renewedAt, l.n.syncedAt = l.n.now, l.n.now
+		l.report(&protocol.Report{Machine: m.id, Address: "h:1", Type: m.typeName, Zone: m.zone, Session: 1, Seq: m.seq + 1, Token: l.n.lease.term}, false)
+	}
+	if !l.isConfirmedAlive(m) || l.takesTasks(m) {
+		t.Errorf("alive %v, takes work %v", l.isConfirmedAlive(m), l.takesTasks(m))
+	}
+	l.testReport(m, l.n.lease.term)
+	if !l.takesTasks(m) {
+		t.Error("takes no work though it reports again")
+	}
+}
--- a/internal/coordination/parts.go
+++ b/internal/coordination/record_split.go
@@ -75,11 +75,11 @@
 	return part
 }
 
-// maySplit says whether records may be written that the first version does not
+// maySplit says whether records may be written that version 0.2 does not
 // read whole, because all controllers know them, or because the state service has
 // lowered its limits, which it does only then. Until then its present limits hold.
 func (l *leader) maySplit() bool {
-	return l.n.lowered || l.n.allKnow(protocol.PeerKnowsCancelled)
+	return l.n.limitsLowered || l.n.allKnow(protocol.PeerKnowsCancelled)
 }
 
 // limits are those that a record must keep within now.
@@ -96,7 +96,7 @@
 	if len(list) < 2 {
 		return false
 	}
-	if j.spec.Gang() && len(list) > bookkeeping.GangChunk(limits.TxnOps) {
+	if j.spec.Gang() && len(list) > bookkeeping.GangRecordTasks(limits.TxnOps) {
 		return true
 	}
 	room := int(limits.ValueKB * 1024)
@@ -163,7 +163,7 @@
 // splitFirst says whether a gang has a record that must be split before its places
 // are written, and sees to it.
 func (l *leader) splitFirst(j *job) bool {
-	if !l.maySplit() || j.chunk <= bookkeeping.GangChunk(l.n.cfg.Cluster.State.TxnOps) {
+	if !l.maySplit() || j.chunk <= bookkeeping.GangRecordTasks(l.n.cfg.Cluster.State.TxnOps) {
 		return false
 	}
 	first := len(j.newParts) > 0
@@ -177,7 +177,7 @@
 }
 
 // splitOutgrown has all records that have outgrown the limits split, once they may be:
-// nobody knows when the limits are lowered, and a sibling that marks a job as
+// nobody knows when the limits are lowered, and a peer that marks a job as
 // cancelled writes its first record as it is.
 func (l *leader) splitOutgrown() {
 	if l.splitSearched || !l.maySplit() {
--- a/internal/coordination/parts_test.go
+++ b/internal/coordination/record_split_test.go
@@ -11,7 +11,7 @@
 	"github.com/gappond/gappond/internal/tuning"
 )
 
-// lowering is a leader whose state service will lower its limits, with a sibling
+// lowering is a leader whose state service will lower its limits, with a peer
 // that has yet to say what it knows, and a job of an earlier version whose record
 // has outgrown the new limits.
 func lowering(t *testing.T) (*leader, *job) {
@@ -23,7 +23,7 @@
 	n.cfg.Cluster.State = config.State{RPS: 80, WriteRPS: 15, ValueKB: 2, TxnOps: 4}
 	n.peers["s"] = &peer{link: 1}
 	s := protocol.Job{ID: "run-000077", Class: "c", Team: "free", Shape: protocol.ShapeArray, Priority: "normal", Tasks: 98, CPUs: 1, MemoryGB: 1, Image: "img", ImageGB: 1}
-	rec := &bookkeeping.Job{Spec: &s, AtMs: n.now.UnixMilli(), Seq: 5, Chunk: 98}
+	rec := &bookkeeping.Job{Spec: &s, AtMs: n.now.UnixMilli(), Seq: 5, RecordTasks: 98}
 	for i := range s.Tasks {
 		task := bookkeeping.Task{Index: i, Attempt: 1 + uint64(i%3), Machine: "i-000231", Session: 1}
 		if i%5 == 0 {
@@ -37,7 +37,7 @@
 // commitLater sends what there is to write after a while.
 func (l *leader) commitLater(d time.Duration) {
 	l.n.now = l.n.now.Add(d)
-	l.n.claim.renewed, l.n.known = l.n.now, l.n.now
+	l.n.lease.renewedAt, l.n.syncedAt = l.n.now, l.n.now
 	l.commitNext()
 }
 
@@ -52,7 +52,7 @@
 	return txn, r
 }
 
-// TestSplitRecord: as long as a sibling may be of the first version, which would
+// TestSplitRecord: as long as a peer may be of version 0.2, which would
 // not find a further record, a job's record is written whole; then in parts, within
 // the lowered limits and in one transaction, and what another leader reads is the
 // same.
@@ -84,11 +84,11 @@
 	}
 	again := next.addJob(head, 21)
 	for _, c := range txn.Then[:len(txn.Then)-1] {
-		var chunk bookkeeping.Chunk
+		var chunk bookkeeping.TaskRecord
 		if err := json.Unmarshal(c.Value, &chunk); err != nil {
 			t.Fatal(err)
 		}
-		_, num, _ := bookkeeping.SplitChunkKey(c.Set)
+		_, num, _ := bookkeeping.ParseTaskRecordKey(c.Set)
 		if num >= len(again.revisions) {
 			t.Fatalf("%s is not among the %d records", c.Set, len(again.revisions))
 		}
@@ -96,7 +96,7 @@
 	}
 	for i := range j.tasks {
 		a, b := &j.tasks[i], &again.tasks[i]
-		if a.attempt != b.attempt || a.done != b.done || (a.active == nil) != (b.active == nil) || j.recordOf(i) != again.recordOf(i) {
+		if a.lastAttempt != b.lastAttempt || a.done != b.done || (a.active == nil) != (b.active == nil) || j.recordOf(i) != again.recordOf(i) {
 			t.Fatalf("task %d: %+v in %d, %+v in %d", i, a, j.recordOf(i), b, again.recordOf(i))
 		}
 	}
@@ -110,7 +110,7 @@
 
 // TestRefusedForSize: a state service that refuses a value has lowered its limits,
 // which it does only once all controllers have the new version: whatever the leader
-// has heard of its siblings, the record is split and not sent again as it was.
+// has heard of its peers, the record is split and not sent again as it was.
 func TestRefusedForSize(t *testing.T) {
 	l, j := lowering(t)
 	l.touch(j, 0)
@@ -123,18 +123,18 @@
 	}
 }
 
-// TestSplitRacks: machines move out of a room record that has outgrown the limits
+// TestSplitRacks: machines move out of a machine record that has outgrown the limits
 // into others, which are written first: none may be in no record for a moment.
-func TestSplitRacks(t *testing.T) {
+func TestSplitMachineRecords(t *testing.T) {
 	l, _ := lowering(t)
-	rec := bookkeeping.Rack{}
+	rec := bookkeeping.MachineRecord{}
 	for i := range 90 {
-		rec.Machines = append(rec.Machines, bookkeeping.Room{ID: "i-0000" + string(rune('a'+i/26)) + string(rune('a'+i%26)), Address: "10.1.0.232:9000", Type: "big", Zone: "a"})
+		rec.Machines = append(rec.Machines, bookkeeping.MachineEntry{ID: "i-0000" + string(rune('a'+i/26)) + string(rune('a'+i%26)), Address: "10.1.0.232:9000", Type: "big", Zone: "a"})
 	}
-	l.loadRack("g/m/old", 9, &rec)
-	l.splitRacks()
-	old := l.racks[0]
-	l.writeRoom(old.members[0]) // it is to be written at once
+	l.loadMachineRecord("g/m/old", 9, &rec)
+	l.splitMachineRecords()
+	old := l.machineRecords[0]
+	l.queueMachineRecord(old.members[0]) // it is to be written at once
 	named := map[string]string{}
 	for _, m := range rec.Machines {
 		named[m.ID] = "g/m/old"
@@ -146,7 +146,7 @@
 		}
 		txn, r := l.sentTxn(t)
 		for _, c := range txn.Then {
-			var rack bookkeeping.Rack
+			var rack bookkeeping.MachineRecord
 			if json.Unmarshal(c.Value, &rack) != nil || len(rack.Machines) == 0 {
 				continue
 			}
@@ -167,9 +167,9 @@
 				t.Fatalf("%s is in no record", id)
 			}
 		}
-		l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: l.n.claim.term + uint64(l.n.now.Unix()%1000)})})
+		l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: l.n.lease.term + uint64(l.n.now.Unix()%1000)})})
 	}
-	if len(old.leaving) > 0 && !l.settled(old) {
+	if len(old.movedOut) > 0 && !l.movesRecorded(old) {
 		t.Error("the old record is never written")
 	}
 }
--- a/internal/coordination/relay_test.go
+++ b/internal/coordination/relay_test.go
@@ -19,16 +19,16 @@
 	cfg := &config.Config{Name: name, Operator: tuning.Defaults()}
 	for _, s := range []string{"a", "b", "c"} {
 		if s != name {
-			cfg.Siblings = append(cfg.Siblings, config.Sibling{Name: s})
+			cfg.Peers = append(cfg.Peers, config.Peer{Name: s})
 		}
 	}
 	n := New(cfg, slog.New(slog.DiscardHandler), 1, "boot")
 	n.now = time.Unix(1_800_000_000, 0)
-	n.claimSeen(bookkeeping.Encode(bookkeeping.Claim{Node: "a"}), 9)
+	n.leaseObserved(bookkeeping.Encode(bookkeeping.LeaderLease{Node: "a"}), 9)
 	for s, p := range n.peers {
 		*p = peer{up: true, heard: n.now, status: protocol.PeerStatus{Term: 9, Leader: "a", Links: []string{"x", "y"}}}
 		if s == "a" {
-			p.status.Keeps, p.status.Links = keeps, []string{"b", "c"}
+			p.status.DirectShare, p.status.Links = keeps, []string{"b", "c"}
 		}
 	}
 	return n
@@ -86,13 +86,13 @@
 }
 
 // TestFrontsInTrouble: while a link is missing whoever a worker comes to carries
-// its reports, and a worker is sent to the leader itself when its front has lost
-// the leader: by way of third nodes or of mail only some could be carried.
+// its reports, and a worker is sent to the leader itself when its proxy has lost
+// the leader: by way of third nodes or of relayed messages only some could be carried.
 func TestFrontsInTrouble(t *testing.T) {
 	b := follower("b", 0)
 	own, other := "", ""
 	for i := 0; own == "" || other == ""; i++ {
-		if m := fmt.Sprintf("i-%06d", i); b.front(m, "a", 0) == "b" {
+		if m := fmt.Sprintf("i-%06d", i); b.proxyFor(m, "a", 0) == "b" {
 			own = m
 		} else {
 			other = m
@@ -112,7 +112,7 @@
 	if got := reported(b, own); got == "a" {
 		t.Error("sent to the leader again at once, though it came back")
 	}
-	if got := reported(follower("b", tuning.KeepsAll), own); got != "a" {
+	if got := reported(follower("b", tuning.DirectAll), own); got != "a" {
 		t.Errorf("the leader keeps all: %s", got)
 	}
 }
@@ -125,12 +125,12 @@
 		l := testLeader(time.Unix(1_800_000_000, 0))
 		n := l.n
 		n.cfg.Cluster.Resources.Cores = cores
-		n.cfg.Siblings = []config.Sibling{{Name: "o"}, {Name: "p"}}
+		n.cfg.Peers = []config.Peer{{Name: "o"}, {Name: "p"}}
 		n.names = []string{"n", "o", "p"}
 		for _, s := range []string{"o", "p"} {
 			n.peers[s] = &peer{up: true, heard: n.now, status: protocol.PeerStatus{Links: []string{"n", "x"}}}
 		}
-		n.sheds.SetLimit(rate.Inf)
+		n.leaderRedirects.SetLimit(rate.Inf)
 		for i := range 300 {
 			l.testMachine(fmt.Sprintf("i-%06d", i), "big", "a", false)
 		}
@@ -159,8 +159,8 @@
 // waits.
 func TestReportsWaitForALeader(t *testing.T) {
 	b := follower("b", 0)
-	b.claimGone()
-	// A node that has just started takes a sibling's word.
+	b.leaseReleased()
+	// A node that has just started takes a peer's confirmation.
 	if got := reported(b, "i-1"); got != "a" {
 		t.Fatalf("a sibling knows the leader: %s", got)
 	}
@@ -169,7 +169,7 @@
 		t.Fatalf("without a leader: %s", got)
 	}
 	at := b.now
-	b.claimSeen(bookkeeping.Encode(bookkeeping.Claim{Node: "a"}), 10)
+	b.leaseObserved(bookkeeping.Encode(bookkeeping.LeaderLease{Node: "a"}), 10)
 	carried := false
 	for _, a := range b.Step(at.Add(time.Second), nil) {
 		if p, ok := a.(PeerSend); ok {
@@ -181,10 +181,10 @@
 	if !carried {
 		t.Error("the report that waited is not carried to the new leader")
 	}
-	b.claimGone()
+	b.leaseReleased()
 	reported(b, "i-2")
 	id := b.nextID
-	for d := time.Duration(0); d <= tuning.RelayTimeout+time.Second; d += tuning.Tick {
+	for d := time.Duration(0); d <= tuning.ForwardTimeout+time.Second; d += tuning.Tick {
 		for _, a := range b.Step(at.Add(time.Second+d), nil) {
 			if r, ok := a.(Reply); ok && r.ID == id {
 				if r.Status != 503 || d > 4*time.Second {
@@ -198,13 +198,13 @@
 }
 
 // TestDelegatedOrders: where workers are spread, their orders go by way of the
-// siblings; an answer ends the call, none in time counts as lost, and while a link
+// peers; an answer ends the call, none in time counts as lost, and while a link
 // is missing, and for probes, the leader calls itself.
 func TestDelegatedOrders(t *testing.T) {
 	l := testLeader(time.Unix(1_800_000_000, 0))
 	n := l.n
 	n.cfg.Cluster.Resources.Cores = 0.001
-	n.cfg.Siblings = []config.Sibling{{Name: "o"}, {Name: "p"}}
+	n.cfg.Peers = []config.Peer{{Name: "o"}, {Name: "p"}}
 	n.names = []string{"n", "o", "p"}
 	for _, s := range []string{"o", "p"} {
 		n.peers[s] = &peer{up: true, heard: n.now, status: protocol.PeerStatus{Links: []string{"n", "x"}}}
@@ -242,7 +242,7 @@
 	if a, _ := order(protocol.PathOrders); a.(Request).To != ToWorker {
 		t.Errorf("with a link missing orders leave as %+v", a)
 	}
-	// The sibling's part.
+	// The peer's part.
 	b := follower("b", 0)
 	b.out = nil
 	b.deliver(protocol.PeerCall{ID: 5, Origin: "a", Address: "h:1", Body: []byte(`{"x":1}`)})
@@ -258,12 +258,12 @@
 }
 
 // TestMovesArePaced: after all controllers were lost every worker is at some node;
-// they are sent to their fronts by and by, and answered meanwhile.
+// they are sent to their proxies by and by, and answered meanwhile.
 func TestMovesArePaced(t *testing.T) {
 	b := follower("b", 250)
 	b.cfg.Cluster.Resources.Cores = 0.018
 	paced := New(b.cfg, b.log, 1, "boot")
-	b.moves = paced.moves
+	b.redirects = paced.redirects
 	sent := 0
 	for i := range 600 {
 		if got := reported(b, fmt.Sprintf("i-%06d", i)); got == "a" || got == "c" {
@@ -272,7 +272,7 @@
 			t.Fatalf("report %d: %s", i, got)
 		}
 	}
-	if sent != tuning.MovesAtOnce {
+	if sent != tuning.RedirectsAtOnce {
 		t.Errorf("%d workers are sent away at once", sent)
 	}
 	more := 0
@@ -287,7 +287,7 @@
 			more++
 		}
 	}
-	if want := int(5 / b.cfg.Cluster.Resources.Pause(tuning.MoveCost, tuning.MoveShare).Seconds()); more < want-1 || more > want+1 {
+	if want := int(5 / b.cfg.Cluster.Resources.Pause(tuning.RedirectCost, tuning.RedirectShare).Seconds()); more < want-1 || more > want+1 {
 		t.Errorf("%d workers are sent away in 5 s, want %d", more, want)
 	}
 }
--- /dev/null
+++ b/internal/coordination/rental.go
@@ -0,0 +1,208 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// offer is what can be rented: a type in a zone, ordinary or spot.
+type offer struct {
+	typeName, zone string
+	spot           bool
+}
+
+// rental is a request under way.
+type rental struct {
+	offer offer
+	count int
+	body  protocol.Rental
+	tries int
+}
+
+// demandSlot is a machine, there or on its way, in the reckoning of demand.
+type demandSlot struct {
+	m     *machine // nil while it is only asked for
+	offer offer
+	left  resources
+}
+
+// serves says whether a job could use the room. Room that the job avoids must
+// not count, or it would wait for it instead of for a machine to rent.
+func (l *leader) serves(r *demandSlot, j *job) bool {
+	return allows(j.spec, r.offer.typeName, r.offer.zone, r.offer.spot) && (r.m == nil || !l.avoids(j, r.m))
+}
+
+// rent asks for the machines that waiting jobs lack, beyond those that are
+// there, on their way or being emptied for them.
+func (l *leader) rent() {
+	f := &l.fleet
+	now := l.n.now
+	f.load = map[string]int{}
+	k := &rentalPlan{l: l, slots: map[string][]*demandSlot{}, want: map[offer]int{},
+		plain: slices.ContainsFunc(f.demand, func(d demand) bool { return d.j.spec.GPUs == 0 })}
+	for _, m := range l.roster {
+		f.load[m.zone]++
+		t := l.kind(m)
+		if t == nil || m.deleting || m.cordoned {
+			continue
+		}
+		// What is booting, or has yet to report to a new leader, is not rented again.
+		booting := l.isBooting(m) || !m.reported && now.Sub(l.since) < l.silence()
+		if !booting && (!l.reportedLately(m) || l.notReceiving(m) || l.notReporting(m) || !m.tokenConfirmed && !m.recorded) {
+			continue
+		}
+		left := l.freeResources(m)
+		for _, c := range m.attempts {
+			if c.stop || l.endsWithin(c, seconds(t.BootS)) {
+				left.addTasks(c.j.spec, 1) // free before a rented machine would be up
+			}
+		}
+		k.add(&demandSlot{m, offer{m.typeName, m.zone, m.spot}, left})
+	}
+	for _, r := range f.rentals {
+		for range r.count {
+			k.add(&demandSlot{nil, r.offer, capacityOf(l.n.types[r.offer.typeName])})
+		}
+	}
+	for _, d := range f.demand {
+		if d.j.gone || d.j.cancelled {
+			continue
+		}
+		if d.j.spec.Gang() && d.j.spec.OneZone {
+			k.gang(d)
+		} else {
+			k.tasks(d)
+		}
+	}
+	f.demand = nil
+	l.plan = true
+	var offers []offer
+	for o := range k.want {
+		offers = append(offers, o)
+	}
+	slices.SortFunc(offers, func(a, b offer) int {
+		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.typeName, b.typeName), trueFirst(a.spot, b.spot))
+	})
+	for _, o := range offers {
+		if !f.calls.AllowN(now, 1) {
+			return
+		}
+		n := min(k.want[o], tuning.RentCount)
+		r := &rental{offer: o, count: n, body: protocol.Rental{Request: l.n.unique(), Type: o.typeName, Zone: o.zone, Spot: o.spot, Count: n}}
+		f.rentals = append(f.rentals, r)
+		l.n.log.Info("renting", "type", o.typeName, "zone", o.zone, "spot", o.spot, "count", n)
+		l.sendRental(r)
+	}
+}
+
+// endsWithin says whether a copy is likely to end within a span, by its
+// owner's estimate; one that has outrun its estimate may take as long again.
+func (l *leader) endsWithin(c *taskAttempt, d time.Duration) bool {
+	if c.running.IsZero() || c.j.spec.Service() {
+		return false
+	}
+	estimate := seconds(c.j.spec.EstimateS * tuning.EstimateSlack)
+	left := estimate - l.n.now.Sub(c.running)
+	return left > 0 && left <= d
+}
+
+// hasSlack says whether a job's deadline leaves time to wait for machines that
+// others free: renting later would still do.
+func (l *leader) hasSlack(j *job) bool {
+	if j.spec.DeadlineS <= 0 || j.spec.Gang() || j.spec.Service() {
+		return false
+	}
+	boot := 0.0
+	for _, t := range l.n.types {
+		if t.Fits(j.spec) {
+			boot = max(boot, t.BootS)
+		}
+	}
+	need := seconds(j.spec.EstimateS*tuning.EstimateSlack + l.fetchSeconds(j.spec) + boot*tuning.BootSlackShare)
+	return l.n.now.Add(need).Before(j.at.Add(seconds(j.spec.DeadlineS)))
+}
+
+// offers lists what could be rented for a job, the cheapest first.
+func (l *leader) offers(j *job, zone string) []offer {
+	type priced struct {
+		offer
+		price float64
+	}
+	var list []priced
+	for _, t := range l.n.types {
+		if !t.Fits(j.spec) {
+			continue
+		}
+		for _, z := range t.Zones {
+			if zone != "" && z != zone || j.spec.Zone != "" && z != j.spec.Zone {
+				continue
+			}
+			for _, spot := range []bool{true, false} {
+				o := offer{t.Name, z, spot}
+				if spot && !j.spec.Spot || l.n.now.Before(l.fleet.refused[o]) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				list = append(list, priced{o, price / float64(max(1, capacityOf(t).fit(j.spec, len(j.tasks))))})
+			}
+		}
+	}
+	load := l.fleet.load
+	slices.SortFunc(list, func(a, b priced) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(load[a.zone], load[b.zone]), cmp.Compare(a.zone, b.zone), cmp.Compare(a.typeName, b.typeName))
+	})
+	out := make([]offer, len(list))
+	for i, p := range list {
+		out[i] = p.offer
+	}
+	return out
+}
+
+// sendRental sends a request. One whose answer is lost is sent again under the
+// same name: the cloud then gives the same machines.
+func (l *leader) sendRental(r *rental) {
+	f := &l.fleet
+	r.tries++
+	l.n.request(ToCloud, "", "POST", protocol.PathMachines, r.body, tuning.CloudTimeout, func(status int, body []byte) {
+		if l.n.lead != l {
+			return
+		}
+		names, ok := parse[protocol.MachineNames](body)
+		refused, _ := parse[protocol.ErrorBody](body)
+		switch {
+		case status == 200 && ok:
+			for _, id := range names.Machines {
+				if _, gone := f.deleted[id]; !gone && id != "" {
+					m := l.machine(id, "", r.offer.typeName, r.offer.zone, r.offer.spot)
+					m.born = l.n.now
+					if m.record == nil {
+						l.queueMachineRecord(m) // all at once, and before they are up
+					}
+				}
+			}
+			if len(names.Machines) < r.count {
+				f.refused[r.offer] = l.n.now.Add(tuning.NoCapacityPause)
+			}
+		case status == 503 && refused.Error == protocol.NoCapacity:
+			f.refused[r.offer] = l.n.now.Add(tuning.NoCapacityPause)
+		case status != 400 && r.tries < tuning.RentTries:
+			l.n.after(time.Second, func() {
+				if l.n.lead == l {
+					l.sendRental(r)
+				}
+			})
+			return
+		default:
+			l.n.log.Error("rental failed", "status", status, "body", string(body))
+		}
+		f.rentals = slices.DeleteFunc(f.rentals, func(o *rental) bool { return o == r })
+		l.plan = true
+	})
+}
--- a/internal/coordination/replicas.go
+++ b/internal/coordination/replicas.go
@@ -17,16 +17,16 @@
 // replicaEnded notes that a replica ended by itself. It starts again elsewhere at
 // once; one that ends again and again does so ever more rarely. One that ran for a
 // while is stable: neither it nor its machine is to blame.
-func (l *leader) replicaEnded(c *taskCopy) (stable bool) {
+func (l *leader) replicaEnded(c *taskAttempt) (stable bool) {
 	t := &c.j.tasks[c.key.index]
 	if !c.running.IsZero() && l.n.now.Sub(c.running) >= tuning.ReplicaStable {
-		t.ended = 0
+		t.earlyEnds = 0
 		return true
 	}
-	if t.ended > 0 {
-		t.retryAt = l.n.now.Add(tuning.ReplicaPause << min(t.ended-1, tuning.ReplicaDoublings))
+	if t.earlyEnds > 0 {
+		t.retryAt = l.n.now.Add(tuning.ReplicaPause << min(t.earlyEnds-1, tuning.ReplicaDoublings))
 	}
-	t.ended++
+	t.earlyEnds++
 	return false
 }
 
@@ -41,13 +41,13 @@
 
 // placeService finds each waiting replica the best place.
 func (l *leader) placeService(j *job) (waiting int) {
-	quota := l.teamRoom(j)
+	quota := l.teamQuota(j)
 	var list []site
 	var limit map[string]int
 	var only string
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.copies > 0 || l.n.now.Before(t.retryAt) {
+		if t.liveAttempts > 0 || l.n.now.Before(t.retryAt) {
 			continue
 		}
 		if waiting > 0 || quota == 0 {
@@ -69,14 +69,14 @@
 				s = &list[k]
 			}
 		}
-		l.assign(j, i, t.attempt+1, s.m)
+		l.assign(j, i, t.lastAttempt+1, s.m)
 		quota--
 		limit[s.m.zone]--
 		if j.spec.OneZone {
 			only = s.m.zone
 		}
-		s.count, s.mates, s.cached = l.left(s.m).holds(j.spec, 1), s.mates+1, true
-		s.crowded = l.crowds(j.spec, s.m)
+		s.count, s.siblingReplicas, s.cached = l.freeResources(s.m).fit(j.spec, 1), s.siblingReplicas+1, true
+		s.starvesGPUs = l.starvesGPUs(j.spec, s.m)
 	}
 	return waiting
 }
@@ -86,10 +86,10 @@
 	list := l.sites(j, zone)
 	for i := range list {
 		s := &list[i]
-		s.crowded = l.crowds(j.spec, s.m)
-		for _, c := range s.m.copies {
+		s.starvesGPUs = l.starvesGPUs(j.spec, s.m)
+		for _, c := range s.m.attempts {
 			if c.j == j {
-				s.mates++
+				s.siblingReplicas++
 			}
 		}
 	}
@@ -100,13 +100,13 @@
 // another replica of the service, none whose GPUs would lack processors or memory;
 // then the image, the price, and the least room left.
 func byReplica(a, b site) int {
-	return cmp.Or(trueFirst(b.suspect, a.suspect), cmp.Compare(a.mates, b.mates), trueFirst(b.crowded, a.crowded),
+	return cmp.Or(trueFirst(b.suspect, a.suspect), cmp.Compare(a.siblingReplicas, b.siblingReplicas), trueFirst(b.starvesGPUs, a.starvesGPUs),
 		trueFirst(a.cached, b.cached), cmp.Compare(a.price, b.price), cmp.Compare(a.residual, b.residual), cmp.Compare(a.m.id, b.m.id))
 }
 
-// reckonGPUs finds what the work that takes GPUs needs beside each of them.
-func (l *leader) reckonGPUs() {
-	var need room
+// measureGPUNeeds finds what the work that takes GPUs needs beside each of them.
+func (l *leader) measureGPUNeeds() {
+	var need resources
 	for _, j := range l.jobs {
 		if s := j.spec; s.GPUs > 0 {
 			need.cpus = max(need.cpus, s.CPUs/s.GPUs)
@@ -114,25 +114,25 @@
 		}
 	}
 	if need.cpus > 0 || need.memory > 0 {
-		l.besideGPU = need // else as it was: more such work may come
+		l.perGPU = need // else as it was: more such work may come
 	}
 }
 
-// crowds says whether one more task without GPUs would leave a machine's GPUs
+// starvesGPUs says whether one more task without GPUs would leave a machine's GPUs
 // without the processors or memory that work on them needs.
-func (l *leader) crowds(s *protocol.Job, m *machine) bool {
+func (l *leader) starvesGPUs(s *protocol.Job, m *machine) bool {
 	t := l.kind(m)
 	if t == nil || t.GPUs == 0 || s.GPUs > 0 {
 		return false
 	}
-	rest := fullRoom(t)
-	rest.add(s, -1)
-	for _, c := range m.copies {
+	rest := capacityOf(t)
+	rest.addTasks(s, -1)
+	for _, c := range m.attempts {
 		if c.j.spec.GPUs == 0 {
-			rest.add(c.j.spec, -1)
+			rest.addTasks(c.j.spec, -1)
 		}
 	}
-	return rest.cpus+amountSlack < l.besideGPU.cpus*t.GPUs || rest.memory+amountSlack < l.besideGPU.memory*t.GPUs
+	return rest.cpus+amountSlack < l.perGPU.cpus*t.GPUs || rest.memory+amountSlack < l.perGPU.memory*t.GPUs
 }
 
 // moveReplicas moves replicas away from machines that are to go, or whose lease is
@@ -141,12 +141,12 @@
 // Of a service one moves at a time, unless the cloud takes the machine away.
 func (l *leader) moveReplicas() {
 	for _, m := range l.roster {
-		if !m.closed && !l.mute(m) || m.deleting || !l.alive(m) {
+		if !m.cordoned && !l.notReporting(m) || m.deleting || !l.isConfirmedAlive(m) {
 			continue
 		}
-		for _, c := range sortedCopies(m) {
+		for _, c := range sortedAttempts(m) {
 			j := c.j
-			if !j.spec.Service() || c.stop || !c.committed || j.cancelled || c.stray || !m.noticed && !j.whole() {
+			if !j.spec.Service() || c.stop || !c.committed || j.cancelled || c.stray || !m.spotNotice && !j.isFullyPlaced() {
 				continue
 			}
 			if target := l.successor(c); target != nil {
@@ -158,8 +158,8 @@
 	}
 }
 
-// whole says whether every task of a job has a place and none is on its way out.
-func (j *job) whole() bool {
+// isFullyPlaced says whether every task of a job has a place and none is on its way out.
+func (j *job) isFullyPlaced() bool {
 	for i := range j.tasks {
 		c := j.tasks[i].active
 		if c == nil || c.stop {
@@ -170,18 +170,18 @@
 }
 
 // successor is the machine that a replica would best move to, nil if there is none.
-func (l *leader) successor(c *taskCopy) *machine { return l.otherHost(c, 1) }
+func (l *leader) successor(c *taskAttempt) *machine { return l.successorMachine(c, 1) }
 
-// elsewhere is the same in other zones alone.
-func (l *leader) elsewhere(c *taskCopy) *machine { return l.otherHost(c, 0) }
+// successorInOtherZone is the same in other zones alone.
+func (l *leader) successorInOtherZone(c *taskAttempt) *machine { return l.successorMachine(c, 0) }
 
-// otherHost finds a machine for a replica whose own place is given up; here is how
+// successorMachine finds a machine for a replica whose own place is given up; here is how
 // many of its zone's places it may take in turn.
-func (l *leader) otherHost(c *taskCopy, here int) *machine {
+func (l *leader) successorMachine(c *taskAttempt, here int) *machine {
 	j := c.j
 	limit, only := l.zoneLimits(j)
 	limit[c.m.zone] = here * (limit[c.m.zone] + 1)
-	if j.spec.OneZone && len(j.copies) == 1 {
+	if j.spec.OneZone && len(j.attempts) == 1 {
 		only = ""
 		for z := range limit {
 			limit[z] = 1
@@ -200,9 +200,9 @@
 	return best.m
 }
 
-// hosts says whether a machine has replicas of services.
-func (l *leader) hosts(m *machine) bool {
-	for _, c := range m.copies {
+// hasReplicas says whether a machine has replicas of services.
+func (l *leader) hasReplicas(m *machine) bool {
+	for _, c := range m.attempts {
 		if c.j.spec.Service() && !c.stop {
 			return true
 		}
@@ -210,20 +210,20 @@
 	return false
 }
 
-// hostSilence is how long such a machine may be silent before it is probed.
-func (l *leader) hostSilence() time.Duration {
-	return min(seconds(l.n.cfg.Cluster.Workers.ReportS*tuning.HostReports), l.silence())
+// replicaSilence is how long such a machine may be silent before it is probed.
+func (l *leader) replicaSilence() time.Duration {
+	return min(seconds(l.n.cfg.Cluster.Workers.ReportS*tuning.ReplicaReports), l.silence())
 }
 
-// replaceable says whether a machine behind a suspected cut is better given up for
+// isReplaceable says whether a machine behind a suspected cut is better given up for
 // its replicas' sake: another zone is heard, so it is not this controller's own
 // network, and has places for all of them that their limits allow.
-func (l *leader) replaceable(m *machine, heard map[string]bool) bool {
+func (l *leader) isReplaceable(m *machine, heard map[string]bool) bool {
 	if !slices.ContainsFunc(l.n.cfg.Cluster.Zones, func(z string) bool { return z != m.zone && heard[z] }) {
 		return false
 	}
-	for _, c := range m.copies {
-		if c.j.spec.Service() && !c.stop && l.elsewhere(c) == nil {
+	for _, c := range m.attempts {
+		if c.j.spec.Service() && !c.stop && l.successorInOtherZone(c) == nil {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/coordination/reports.go
@@ -0,0 +1,186 @@
+package coordination
+
+import (
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// report takes a worker's newest message. answered: it came as a report and
+// will be answered with 200, which renews the worker's lease. ok is false if
+// the message is older than what is known.
+func (l *leader) report(r *protocol.Report, answered bool) (commands []protocol.Command, ok bool) {
+	if _, gone := l.fleet.deleted[r.Machine]; gone {
+		return nil, false // what is deleted can only have sent this before
+	}
+	m := l.machine(r.Machine, r.Address, r.Type, r.Zone, r.Spot)
+	if !r.Newer(m.session, m.seq) {
+		return nil, false
+	}
+	now := l.n.now
+	if r.Session > m.session {
+		m.pins = map[taskKey]bool{}
+		if m.tokenConfirmed && now.Sub(m.answered) < seconds(l.n.cfg.Cluster.Workers.LeaseS) {
+			// Its lease ran out although its reports were answered all the time.
+			m.unseenAnswers = tuning.MissedAnswers
+		}
+	}
+	m.session, m.seq = r.Session, r.Seq
+	for _, c := range sortedAttempts(m) {
+		if c.session < r.Session {
+			l.dropAttempt(c) // a newer session has forgotten it
+		}
+	}
+	if !m.reported || m.lapsed {
+		m.reported, m.lapsed = true, false
+		m.idleSince = now
+		l.sendSoon(m) // what was to be ordered waited for a sign of life
+	}
+	if fresh := r.Token == l.n.lease.term; fresh != m.tokenConfirmed {
+		m.tokenConfirmed = fresh
+		l.plan = true
+	}
+	m.lastReport = now
+	if answered {
+		m.answered = now
+	} else {
+		m.unseenAnswers = 0 // it has answered a call
+	}
+	if !l.notReceiving(m) {
+		m.probes = 0
+	}
+	if m.record == nil && m.tokenConfirmed {
+		// One that has not shown this leader's token may be gone: a copy of an
+		// old report can come at any time.
+		l.queueMachineRecord(m)
+	}
+	if r.NoticeS != nil && !m.spotNotice {
+		m.spotNotice = true
+		l.plan = true
+		l.drain(m)
+	}
+	seen := make(map[taskKey]bool, len(r.Tasks))
+	m.exited = m.exited[:0]
+	for _, t := range r.Tasks {
+		id, index, valid := protocol.SplitTask(t.Task)
+		if !valid {
+			continue
+		}
+		key := taskKey{id, index, t.Attempt}
+		seen[key] = true
+		l.reportedTask(m, key, t)
+	}
+	if m.tokenConfirmed {
+		for _, c := range sortedAttempts(m) {
+			switch {
+			case seen[taskKey{c.j.id, c.key.index, c.key.attempt}] || !c.sent || c.direct > 0 || c.pinned:
+			case c.inReply && !answered:
+				// The start may be in an answer that the worker has yet to read.
+			case c.state != "" || c.stop || c.loaded:
+				l.dropAttempt(c)
+			}
+		}
+	}
+	if answered {
+		lost, shown := m.lastAnswered && !m.tokenConfirmed, false
+		for _, c := range m.attempts {
+			if c.inReply {
+				_, there := seen[taskKey{c.j.id, c.key.index, c.key.attempt}]
+				lost, shown = lost || !there, shown || there
+				c.inReply = false
+			}
+		}
+		if lost {
+			m.unseenAnswers++
+		} else if shown {
+			m.unseenAnswers = 0
+		}
+		m.lastAnswered = true
+		commands = l.orders(m, true)
+	}
+	return commands, true
+}
+
+// reportedTask takes one task of a report.
+func (l *leader) reportedTask(m *machine, key taskKey, t protocol.TaskReport) {
+	c := m.attempts[key]
+	j := l.jobs[key.job]
+	if t.State != protocol.TaskExited {
+		if c == nil {
+			if j == nil || key.index >= len(j.tasks) {
+				m.strays = append(m.strays, key)
+				return
+			}
+			// No record asks for this copy, yet it takes room: it must go
+			// before its task starts anywhere else.
+			c = l.addAttempt(j, key.index, key.attempt, m, m.session)
+			c.committed, c.sent, c.stray = true, true, true
+			l.stop(c, 0)
+		}
+		c.state = t.State
+		c.sent = true
+		if t.State == protocol.TaskRunning && c.running.IsZero() {
+			c.running = l.n.now
+			l.n.log.Debug("task runs", "job", c.j.id, "task", key.index, "attempt", key.attempt, "machine", m.id)
+		}
+		return
+	}
+	m.exited = append(m.exited, t)
+	if t.Cause == protocol.CauseDone && j != nil && key.index < len(j.tasks) {
+		l.setDone(j, key.index)
+		clear(m.failed)
+	}
+	if c == nil || !m.tokenConfirmed && t.Cause != protocol.CauseDone {
+		return
+	}
+	if c.pinned || c.direct > 0 {
+		m.pins[key] = true
+	}
+	if c.state != protocol.TaskExited {
+		c.state = protocol.TaskExited
+		l.exited(m, c, t)
+	}
+	l.dropAttempt(c)
+}
+
+// exited judges a copy's end.
+func (l *leader) exited(m *machine, c *taskAttempt, t protocol.TaskReport) {
+	j := c.j
+	l.n.log.Debug("task exited", "job", j.id, "task", c.key.index, "attempt", c.key.attempt, "machine", m.id, "cause", t.Cause, "saved", t.Saved)
+	if j.spec.Service() && (t.Cause == protocol.CauseDone || t.Cause == protocol.CauseError) && l.replicaEnded(c) {
+		return
+	}
+	switch t.Cause {
+	case protocol.CauseDone, protocol.CauseStopped, protocol.CauseGangBroken, protocol.CauseGangTimeout:
+	case protocol.CauseError:
+		j.failures[m.id] = true
+		j.avoid[m.id] = l.n.now.Add(tuning.AvoidFailed)
+		if len(j.failures) >= tuning.JobErrors {
+			// It fails everywhere: the job is to blame, not the machines.
+			// It goes on trying, ever more rarely, on what is free: it must not
+			// keep sound work of lower priority from its machines for ever.
+			// The replicas of a service have pauses of their own.
+			if j.spec.Service() {
+				clear(j.failures)
+			} else {
+				j.retryAt = l.n.now.Add(tuning.ErrorPause << min(j.blamedCount, tuning.ErrorDoublings))
+				j.blamedCount++
+			}
+			for _, other := range l.machines {
+				delete(other.failed, j.id)
+			}
+			clear(j.avoid)
+			return
+		}
+		m.failed[j.id] = true
+		if len(m.failed) >= tuning.MachineErrors && !m.distrust {
+			m.distrust = true
+			l.n.log.Info("machine distrusted", "machine", m.id)
+			l.drain(m)
+		}
+	case protocol.CauseNoRoom, protocol.CauseBusy:
+		j.avoid[m.id] = l.n.now.Add(tuning.AvoidFor)
+	default:
+		// no_such, or a cause of a later version: try again, but not at once.
+		j.retryAt = l.n.now.Add(tuning.RetryPause * 8)
+	}
+}
--- /dev/null
+++ b/internal/coordination/requests.go
@@ -0,0 +1,77 @@
+package coordination
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// tickState asks the state service for something small when nothing else has
+// been asked lately, so that every node knows whether it is served.
+func (n *Node) tickState() {
+	if n.mirror.Ready() && n.now.Sub(n.askedAt) >= tuning.StateProbe {
+		n.state("GET", protocol.KeyPath(bookkeeping.LeaderKey), nil, func(int, []byte) {})
+	}
+}
+
+func (n *Node) request(to Target, address, method, path string, body any, timeout time.Duration, done func(status int, body []byte)) {
+	n.nextID++
+	var raw []byte
+	switch b := body.(type) {
+	case nil:
+	case []byte:
+		raw = b
+	default:
+		raw = bookkeeping.Encode(b)
+	}
+	n.pending[n.nextID] = done
+	n.out = append(n.out, Request{ID: n.nextID, To: to, Address: address, Method: method, Path: path, Body: raw, Timeout: timeout})
+}
+
+// state calls the state service and keeps note of whether it serves this node.
+func (n *Node) state(method, path string, body any, done func(status int, body []byte)) {
+	n.stateVia(ToState, method, path, body, done)
+}
+
+// stateVia is the same on a given connection.
+func (n *Node) stateVia(to Target, method, path string, body any, done func(status int, body []byte)) {
+	n.askedAt = n.now
+	n.stateCalls.AllowN(n.now, 1) // counted in any case; users' requests look first
+	n.request(to, "", method, path, body, tuning.StateTimeout, func(status int, body []byte) {
+		n.unanswered = status == 0
+		if status != 0 && status != 503 {
+			n.servedAt = n.now
+		}
+		done(status, body)
+	})
+}
+
+func (n *Node) reply(id uint64, status int, body any) {
+	n.noteConfirmedCancel(body)
+	n.answer(Reply{ID: id, Status: status, Body: bookkeeping.Encode(body)})
+}
+
+// answer gives a reply to whoever asked: a connection of this node, or a
+// peer that carried the request here.
+func (n *Node) answer(r Reply) {
+	if from, ok := n.received[r.ID]; ok {
+		delete(n.received, r.ID)
+		n.sendTo(from.origin, protocol.PeerAnswer{ID: from.id, Target: from.origin, Status: uint64(r.Status), Body: r.Body})
+		return
+	}
+	n.out = append(n.out, r)
+}
+
+// refuse answers at once that the request cannot be taken now.
+func (n *Node) refuse(id uint64, why string) {
+	n.answer(Reply{ID: id, Status: 503, Body: bookkeeping.Encode(protocol.ErrorBody{Error: why}), RetryAfter: time.Second})
+}
+
+// parse reads a JSON answer.
+func parse[T any](body []byte) (T, bool) {
+	var v T
+	return v, json.Unmarshal(body, &v) == nil
+}
--- /dev/null
+++ b/internal/coordination/takeover.go
@@ -0,0 +1,127 @@
+package coordination
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+func (n *Node) takeOver() {
+	l := &leader{n: n, since: n.now, jobs: map[string]*job{}, machines: map[string]*machine{}, teams: map[string]*team{}, plan: true,
+		calls: n.workerCalls(), fleet: newFleet(n.cfg.Cluster.Cloud.RPS)}
+	n.lead = l
+	n.beatAt = n.now  // the peers learn how many workers it keeps
+	n.typesAt = n.now // today's prices, and a record of the types if there is none
+	for _, t := range n.cfg.Cluster.Teams {
+		l.teams[t.Name] = &team{guaranteeCPUs: t.CPUs, guaranteeGPUs: t.GPUs, maxCPUs: t.MaxCPUs, maxGPUs: t.MaxGPUs}
+	}
+	sound := true
+	n.mirror.Each(bookkeeping.MachinePrefix, func(e protocol.Entry) {
+		rec, ok := parse[bookkeeping.MachineRecord](e.Value)
+		if !ok || len(rec.Machines) == 0 { // an empty one is deleted, so this is something else
+			sound = false
+			n.log.Error("machine record does not parse", "key", e.Key)
+			return
+		}
+		l.loadMachineRecord(e.Key, e.Revision, &rec)
+	})
+	slices.SortFunc(l.machineRecords, func(a, b *machineRecord) int { return cmp.Compare(a.key, b.key) })
+	n.mirror.Each(bookkeeping.JobPrefix, func(e protocol.Entry) {
+		rec, err := bookkeeping.DecodeJob(e.Value)
+		if err != nil {
+			n.log.Error("job record does not parse", "key", e.Key, "error", err)
+			return
+		}
+		l.addJob(rec, e.Revision)
+	})
+	n.mirror.Each(bookkeeping.TaskPrefix, func(e protocol.Entry) {
+		id, num, ok := bookkeeping.ParseTaskRecordKey(e.Key)
+		j := l.jobs[id]
+		if !ok || j == nil || num >= len(j.revisions) {
+			l.cleanup = append(l.cleanup, e.Key) // left by a finished job
+			return
+		}
+		var c bookkeeping.TaskRecord
+		if json.Unmarshal(e.Value, &c) != nil {
+			n.log.Error("task record does not parse", "key", e.Key)
+			return
+		}
+		j.revisions[num] = e.Revision
+		l.addTasks(j, num, c.Tasks)
+	})
+	slices.Sort(l.cleanup)
+	l.splitMachineRecords()
+	for _, m := range l.roster {
+		if m.record == nil && sound {
+			// Places are committed only on machines that a machine record has, and a
+			// machine leaves its record only after its deletion was answered: a
+			// predecessor has proven it gone.
+			l.forget(m.id)
+		}
+	}
+	// Jobs and machines come out of the mirror in no order; what follows must
+	// not depend on that.
+	for _, j := range l.ordered() {
+		l.checkEnded(j)
+	}
+	n.log.Info("leading", "term", n.lease.term, "jobs", len(l.jobs), "machines", len(l.machines))
+}
+
+func (l *leader) addJob(rec *bookkeeping.Job, stamp uint64) *job {
+	s := rec.Spec
+	j := &job{
+		id: s.ID, spec: s, rank: s.Rank(), seq: rec.Seq, at: time.UnixMilli(rec.AtMs),
+		epoch: rec.Attempt, cancelled: rec.Cancelled, chunk: rec.RecordTasks,
+		tasks:     make([]task, s.Tasks),
+		revisions: make([]uint64, max(rec.BaseRecords(), rec.Parts)),
+		attempts:  map[attemptKey]*taskAttempt{}, dirty: map[int]bool{},
+		failures: map[string]bool{}, avoid: map[string]time.Time{},
+		waitingSince: l.n.now,
+	}
+	if j.seq == 0 {
+		j.seq = stamp // never written since its submission
+	}
+	j.revisions[0] = stamp
+	j.extraParts = make([][]int, len(j.revisions)-rec.BaseRecords())
+	j.startBy = l.startTimes(j)
+	l.n.log.Debug("job", "job", j.id, "class", s.Class, "shape", s.Shape, "tasks", s.Tasks, "gpus", s.GPUs, "team", s.Team, "estimate", s.EstimateS, "deadline", s.DeadlineS, "age", l.n.now.Sub(j.at).Seconds())
+	l.jobs[j.id] = j
+	l.lastJob = l.n.now
+	if !s.Spot {
+		l.lastOrdinary = l.n.now
+	}
+	l.addTasks(j, 0, rec.Tasks)
+	return j
+}
+
+// addTasks takes the tasks of one of a job's records.
+func (l *leader) addTasks(j *job, record int, tasks []bookkeeping.Task) {
+	for _, t := range tasks {
+		if t.Index < 0 || t.Index >= len(j.tasks) {
+			continue
+		}
+		if record >= j.baseRecords() {
+			j.move(t.Index, record)
+		}
+		jt := &j.tasks[t.Index]
+		jt.lastAttempt = t.Attempt
+		j.everPlaced = true
+		if t.Done && !jt.done {
+			jt.done = true
+			j.done++
+		}
+		if t.Machine == "" || t.Done {
+			continue
+		}
+		m := l.machine(t.Machine, "", "", "", false)
+		c := l.addAttempt(j, t.Index, t.Attempt, m, t.Session)
+		c.committed, c.sent, c.loaded = true, true, true
+		jt.active = c
+		m.useImage(j.spec, nil)
+		m.session = max(m.session, t.Session)
+	}
+}
--- /dev/null
+++ b/internal/coordination/timers.go
@@ -0,0 +1,28 @@
+package coordination
+
+import (
+	"time"
+)
+
+// timer is something to do later.
+type timer struct {
+	at time.Time
+	do func()
+}
+
+// after does something once the time has passed.
+func (n *Node) after(d time.Duration, do func()) {
+	n.timers = append(n.timers, timer{n.now.Add(d), do})
+}
+
+func (n *Node) tickTimers() {
+	due := n.timers
+	n.timers = nil
+	for _, t := range due {
+		if n.now.Before(t.at) {
+			n.timers = append(n.timers, t)
+		} else {
+			t.do()
+		}
+	}
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -10,19 +10,8 @@
 	"github.com/gappond/gappond/internal/tuning"
 )
 
-// poll is a question about an unfinished job that waits to be checked: the
-// mirror's record may be old, and no user may get an older answer than one
-// that any node has given.
-type poll struct {
-	id     uint64
-	job    string
-	stamp  uint64
-	short  bool // the answer to a repeated submission
-	expire time.Time
-}
-
-// impossible says why a job can never run, or "".
-func (n *Node) impossible(j *protocol.Job) string {
+// unrunnableReason says why a job can never run, or "".
+func (n *Node) unrunnableReason(j *protocol.Job) string {
 	if !bookkeeping.Storable(n.cfg.Cluster.State.ValueKB, j) {
 		return "its description is too long to be kept"
 	}
@@ -70,16 +59,16 @@
 		n.refuse(id, "starting")
 		return
 	}
-	if n.cutOff() {
+	if n.stateUnreachable() {
 		n.refuse(id, "state service out of reach")
 		return
 	}
 	if e, ok := n.mirror.Get(bookkeeping.JobKey(j.ID)); ok {
-		n.addPoll(poll{id: id, job: j.ID, stamp: e.Stamp, short: true})
+		n.addPoll(poll{id: id, job: j.ID, revision: e.Revision, short: true})
 		return
 	}
-	if why := n.impossible(j); why != "" {
-		// The job may have been accepted by a sibling and be over; only a job
+	if why := n.unrunnableReason(j); why != "" {
+		// The job may have been accepted by a peer and be over; only a job
 		// that nobody knows is refused.
 		n.lookUp(id, j.ID, n.now.Add(tuning.UserDeadline), func(s *protocol.Status) {
 			if s != nil {
@@ -90,14 +79,14 @@
 		})
 		return
 	}
-	if !n.mayWrite() {
-		if !n.sendOn(id, submission(j)) {
+	if !n.takeWriteBudget() {
+		if !n.forwardToPeer(id, submission(j)) {
 			n.shed(id)
 		}
 		return
 	}
 	state := n.cfg.Cluster.State
-	rec := bookkeeping.Job{Writer: n.unique(), Spec: j, AtMs: n.now.UnixMilli(), Chunk: bookkeeping.ChunkSize(state.ValueKB, state.TxnOps, j)}
+	rec := bookkeeping.Job{Writer: n.unique(), Spec: j, AtMs: n.now.UnixMilli(), RecordTasks: bookkeeping.TasksPerRecord(state.ValueKB, state.TxnOps, j)}
 	txn := bookkeeping.Encode(protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}, {Key: bookkeeping.FinalKey(j.ID)}},
 		Then: []protocol.Change{{Set: bookkeeping.JobKey(j.ID), Value: bookkeeping.Encode(rec)}},
@@ -128,7 +117,7 @@
 	send()
 }
 
-// submission is a submission on its way to a sibling.
+// submission is a submission on its way to a peer.
 func submission(j *protocol.Job) protocol.PeerRequest {
 	return protocol.PeerRequest{Verb: verbSubmit, Job: j.ID, Body: bookkeeping.Encode(j)}
 }
@@ -142,25 +131,25 @@
 		n.refuse(id, "starting")
 		return
 	}
-	if n.cutOff() {
+	if n.stateUnreachable() {
 		n.refuse(id, "state service out of reach")
 		return
 	}
 	if e, ok := n.mirror.Get(bookkeeping.JobKey(job)); ok {
-		n.addPoll(poll{id: id, job: job, stamp: e.Stamp})
+		n.addPoll(poll{id: id, job: job, revision: e.Revision})
 		return
 	}
-	if !n.mayRead() {
+	if !n.hasReadBudget() {
 		n.shed(id)
 		return
 	}
 	n.answerQuery(id, job, n.now.Add(tuning.UserDeadline))
 }
 
-// cutOff says whether requests to the state service hang: a user is better
+// stateUnreachable says whether requests to the state service hang: a user is better
 // told at once to come back, perhaps to another node.
-func (n *Node) cutOff() bool {
-	return n.silent && n.now.Sub(n.served) >= tuning.CutOffAfter
+func (n *Node) stateUnreachable() bool {
+	return n.unanswered && n.now.Sub(n.servedAt) >= tuning.CutOffAfter
 }
 
 // shed turns a user's request away because too much is asked.
@@ -169,19 +158,6 @@
 	n.refuse(id, "busy")
 }
 
-// dropLatePolls turns away the polls that have waited too long for the budget.
-func (n *Node) dropLatePolls() {
-	kept := n.polls[:0]
-	for _, p := range n.polls {
-		if n.now.Before(p.expire) {
-			kept = append(kept, p)
-		} else {
-			n.shed(p.id)
-		}
-	}
-	n.polls = kept
-}
-
 func (n *Node) answerQuery(id uint64, job string, deadline time.Time) {
 	n.lookUp(id, job, deadline, func(s *protocol.Status) {
 		if s == nil {
@@ -196,8 +172,8 @@
 	return protocol.Status{ID: job, Phase: f.Phase, Done: f.Done}
 }
 
-// keepFinal remembers a final state; it never changes.
-func (n *Node) keepFinal(job string, f bookkeeping.Final) {
+// cacheFinal remembers a final state; it never changes.
+func (n *Node) cacheFinal(job string, f bookkeeping.Final) {
 	if len(n.finals) >= tuning.FinalCache {
 		clear(n.finals)
 	}
@@ -247,175 +223,9 @@
 				n.refuse(id, "record does not parse")
 				return
 			}
-			n.keepFinal(job, f)
+			n.cacheFinal(job, f)
 			s := finalStatus(job, f)
 			found(&s)
 		})
 	})
 }
-
-func (n *Node) addPoll(p poll) {
-	if len(n.polls) >= tuning.QueueUsers {
-		n.shed(p.id)
-		return
-	}
-	if len(n.polls) == 0 {
-		n.pollAt = n.now.Add(n.requestPause(tuning.PollBatch, tuning.PollShare))
-	}
-	p.expire = n.now.Add(tuning.UserDeadline)
-	n.polls = append(n.polls, p)
-}
-
-// flushPolls checks the waiting polls' records by one transaction that only
-// compares: when it succeeds, the mirror's records are the newest there are.
-func (n *Node) flushPolls() {
-	if len(n.polls) == 0 {
-		return
-	}
-	limit := n.cfg.Cluster.State.TxnOps * 4
-	if n.now.Before(n.pollAt) && len(n.polls) < limit {
-		return
-	}
-	if !n.mayRead() {
-		n.dropLatePolls()
-		return
-	}
-	batch := n.polls
-	if len(batch) > limit {
-		batch = batch[:limit]
-	}
-	n.polls = append([]poll(nil), n.polls[len(batch):]...)
-	var txn protocol.Txn
-	status := map[string]protocol.Status{}
-	for _, p := range batch {
-		if _, ok := status[p.job]; ok {
-			continue
-		}
-		key := bookkeeping.JobKey(p.job)
-		s, stamp, ok := n.mirror.Status(key)
-		if !ok {
-			continue
-		}
-		status[p.job] = s
-		txn.If = append(txn.If, protocol.Condition{Key: key, Stamp: stamp})
-	}
-	n.state("POST", protocol.PathTxn, txn, func(code int, body []byte) {
-		stale := map[string]bool{}
-		switch code {
-		case 200:
-		case 409:
-			var a protocol.TxnAnswer
-			if json.Unmarshal(body, &a) != nil || len(a.Failed) == 0 {
-				clear(status) // nothing is known to be fresh
-			}
-			for _, k := range a.Failed {
-				stale[k] = true
-			}
-		default:
-			for _, p := range batch {
-				n.refuse(p.id, "state service does not answer")
-			}
-			return
-		}
-		for _, p := range batch {
-			s, ok := status[p.job]
-			switch {
-			case !ok || stale[bookkeeping.JobKey(p.job)]:
-				if p.short {
-					n.lookUp(p.id, p.job, p.expire, func(s *protocol.Status) {
-						if s == nil {
-							n.refuse(p.id, "try again")
-							return
-						}
-						n.reply(p.id, 200, protocol.Accepted{ID: p.job, Phase: s.Phase})
-					})
-				} else {
-					n.answerQuery(p.id, p.job, p.expire)
-				}
-			case p.short:
-				n.reply(p.id, 200, protocol.Accepted{ID: p.job, Phase: s.Phase})
-			default:
-				n.reply(p.id, 200, s)
-			}
-		}
-	})
-}
-
-// cancel marks a job as cancelled by a guarded transaction. Whoever leads
-// learns it from its watch.
-func (n *Node) cancel(id uint64, job string) {
-	if f, ok := n.finals[job]; ok {
-		n.reply(id, 200, protocol.Accepted{ID: job, Phase: f.Phase})
-		return
-	}
-	if !n.mirror.Ready() {
-		n.refuse(id, "starting")
-		return
-	}
-	if n.cutOff() {
-		n.refuse(id, "state service out of reach")
-		return
-	}
-	if !n.mayWrite() {
-		n.shed(id)
-		return
-	}
-	deadline := n.now.Add(tuning.UserDeadline)
-	if e, ok := n.mirror.Get(bookkeeping.JobKey(job)); ok {
-		n.cancelRecord(id, job, &e, deadline)
-		return
-	}
-	n.cancelFresh(id, job, deadline)
-}
-
-func (n *Node) cancelFresh(id uint64, job string, deadline time.Time) {
-	n.read(id, bookkeeping.JobKey(job), deadline, func(e *protocol.Entry) {
-		if e != nil {
-			n.cancelRecord(id, job, e, deadline)
-			return
-		}
-		n.lookUp(id, job, deadline, func(s *protocol.Status) {
-			if s == nil {
-				n.reply(id, 404, protocol.ErrorBody{Error: "no such job"})
-				return
-			}
-			if s.Phase != protocol.PhaseDone && s.Phase != protocol.PhaseCancelled {
-				n.refuse(id, "try again")
-				return
-			}
-			n.reply(id, 200, protocol.Accepted{ID: job, Phase: s.Phase})
-		})
-	})
-}
-
-func (n *Node) cancelRecord(id uint64, job string, e *protocol.Entry, deadline time.Time) {
-	rec, err := bookkeeping.DecodeJob(e.Value)
-	if err != nil {
-		n.refuse(id, "record does not parse")
-		return
-	}
-	if rec.Cancelled {
-		n.tellCancelled(job) // by a transaction whose answer was lost, perhaps
-		n.reply(id, 200, protocol.Accepted{ID: job, Phase: protocol.PhaseCancelled})
-		return
-	}
-	rec.Cancelled, rec.Writer = true, n.unique()
-	if rec.Seq == 0 {
-		rec.Seq = e.Stamp
-	}
-	txn := protocol.Txn{
-		If:   []protocol.Condition{{Key: e.Key, Stamp: e.Stamp}},
-		Then: []protocol.Change{{Set: e.Key, Value: bookkeeping.Encode(rec)}},
-	}
-	n.state("POST", protocol.PathTxn, txn, func(status int, _ []byte) {
-		switch {
-		case status == 200:
-			n.tellCancelled(job)
-			n.reply(id, 200, protocol.Accepted{ID: job, Phase: protocol.PhaseCancelled})
-		case (status == 409 || status == 0) && n.now.Before(deadline):
-			n.cancelFresh(id, job, deadline)
-		default:
-			n.refuse(id, "state service does not answer")
-		}
-	})
-}
--- a/internal/coordination/users_test.go
+++ b/internal/coordination/users_test.go
@@ -36,7 +36,7 @@
 	} {
 		j := base
 		c.change(&j)
-		if why := l.n.impossible(&j); (why == "") != c.want {
+		if why := l.n.unrunnableReason(&j); (why == "") != c.want {
 			t.Errorf("%s: %q", name, why)
 		}
 	}
@@ -57,14 +57,14 @@
 	}
 	// With the types known too, only a job that nobody knows is refused.
 	n.types["big"] = &bigType
-	n.served = n.now
+	n.servedAt = n.now
 	n.out = nil
 	n.submit(8, &bad)
 	for _, status := range []int{404, 200} {
 		read := n.lastRequest(t, ToState)
 		body := []byte(nil)
 		if status == 200 {
-			body = bookkeeping.Encode(protocol.Entry{Key: bookkeeping.FinalKey(bad.ID), Stamp: 4, Value: bookkeeping.Encode(bookkeeping.Final{Phase: protocol.PhaseDone})})
+			body = bookkeeping.Encode(protocol.Entry{Key: bookkeeping.FinalKey(bad.ID), Revision: 4, Value: bookkeeping.Encode(bookkeeping.Final{Phase: protocol.PhaseDone})})
 		}
 		n.handle(Response{ID: read.ID, Status: status, Body: body})
 	}
--- /dev/null
+++ b/internal/coordination/worker_calls.go
@@ -0,0 +1,70 @@
+package coordination
+
+import (
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+	"golang.org/x/time/rate"
+)
+
+// workerCalls paces the calls to workers by what they cost of the controller's
+// share of a core: a new leader that called every worker of a large fleet at
+// once would not come to renew its leader lease.
+func (n *Node) workerCalls() *rate.Limiter {
+	cores := n.cfg.Cluster.Resources.Cores
+	if cores <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	limit := cores * tuning.OrderShare / tuning.OrderCost.Seconds()
+	return rate.NewLimiter(rate.Limit(limit), max(tuning.OrdersLeast, int(limit)))
+}
+
+// mayCall says whether a worker may be called now. Calls that can wait leave
+// half of the pace and of the sockets to orders: probes of a dark zone hang
+// for their whole time.
+func (l *leader) mayCall(canWait bool) bool {
+	sockets := max(tuning.OrdersLeast, int(float64(l.n.cfg.Cluster.Resources.FDLimit)*tuning.WorkerSockets))
+	pace := 1.0
+	if canWait {
+		sockets /= 2
+		pace = float64(l.calls.Burst()) / 2
+	}
+	return l.calling < sockets && (l.calls.Limit() == rate.Inf || l.calls.TokensAt(l.n.now) >= pace)
+}
+
+// call makes a call to a worker.
+func (l *leader) call(m *machine, method, path string, body any, done func(status int, body []byte)) {
+	l.calls.AllowN(l.n.now, 1)
+	l.calling++
+	ended := func(status int, body []byte) {
+		l.calling--
+		if l.n.lead == l {
+			done(status, body)
+		}
+	}
+	if path == protocol.PathOrders && l.usesProxies() && l.n.delegate(m, bookkeeping.Encode(body), ended) {
+		return
+	}
+	l.n.request(ToWorker, m.address, method, path, body, tuning.ProbeTimeout, ended)
+}
+
+// delegate has a peer send orders to a worker, if all links are there: a call
+// is a new connection mostly, which costs much of a small share of a core. What
+// the peer does not answer in time may still be executed, as any order that
+// was not answered. Probes are not delegated: they judge a machine.
+func (n *Node) delegate(m *machine, body []byte, done func(status int, body []byte)) bool {
+	if !n.fullyConnected() {
+		return false
+	}
+	n.nextID++
+	n.delegated[n.nextID] = delegatedCall{done, n.now.Add(tuning.ProbeTimeout + tuning.DelegateSlack)}
+	n.sendTo(n.proxyFor(m.id, n.cfg.Name, 0), protocol.PeerCall{ID: n.nextID, Origin: n.cfg.Name, Address: m.address, Body: body})
+	return true
+}
+
+// callFor sends orders to a worker for the leader.
+func (n *Node) callFor(c protocol.PeerCall) {
+	n.request(ToWorker, c.Address, "POST", protocol.PathOrders, c.Body, tuning.ProbeTimeout, func(status int, body []byte) {
+		n.sendTo(c.Origin, protocol.PeerAnswer{ID: c.ID, Target: c.Origin, Status: uint64(status), Body: body})
+	})
+}
--- /dev/null
+++ b/internal/protocol/cloud.go
@@ -0,0 +1,94 @@
+package protocol
+
+// Phases of a machine in the cloud's list.
+const (
+	MachineBooting = "starting"
+	MachineRunning = "running"
+	MachineFailed  = "failed"
+)
+
+// MachineType is one entry of the cloud's price list.
+type MachineType struct {
+	Name        string   `json:"label"`
+	CPUs        float64  `json:"cpus"`
+	GPUs        float64  `json:"gpus"`
+	MemoryGB    float64  `json:"memory_gb"`
+	CacheGB     float64  `json:"cache_gb"`
+	FetchGBPerS float64  `json:"fetch_gb_per_s"`
+	Price       float64  `json:"hourly"`
+	SpotPrice   float64  `json:"low_price"`
+	BootS       float64  `json:"startup_s"`
+	Zones       []string `json:"yards"`
+}
+
+// Fits says whether one task of the job fits an empty machine of this type,
+// the job's wishes for type and zone included.
+func (t *MachineType) Fits(j *Job) bool {
+	if j.CPUs > t.CPUs || j.GPUs > t.GPUs || j.MemoryGB > t.MemoryGB {
+		return false
+	}
+	if !Allowed(j.Types, t.Name) {
+		return false
+	}
+	if j.Zone == "" {
+		return true
+	}
+	for _, z := range t.Zones {
+		if z == j.Zone {
+			return true
+		}
+	}
+	return false
+}
+
+// Allowed says whether a list of types, empty for any, has this one.
+func Allowed(types []string, name string) bool {
+	if len(types) == 0 {
+		return true
+	}
+	for _, t := range types {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+// NoCapacity is the error of a rental that nothing is left for.
+const NoCapacity = "no capacity"
+
+// MachineTypes is the cloud's price list.
+type MachineTypes struct {
+	Types []MachineType `json:"builds"`
+}
+
+// Rental asks the cloud for machines.
+type Rental struct {
+	Request string `json:"hire"`
+	Type    string `json:"build"`
+	Zone    string `json:"yard"`
+	Spot    bool   `json:"loaners"`
+	Count   int    `json:"count"`
+}
+
+// MachineNames lists machines by name.
+type MachineNames struct {
+	Machines []string `json:"berths"`
+}
+
+// Machine is an entry of the cloud's machine list.
+type Machine struct {
+	ID      string  `json:"uid"`
+	Address string  `json:"address"`
+	Type    string  `json:"build"`
+	Zone    string  `json:"yard"`
+	Spot    bool    `json:"loaners"`
+	Phase   string  `json:"phase"`
+	AgeS    float64 `json:"age_s"`
+}
+
+// MachineList is a page of the cloud's machine list.
+type MachineList struct {
+	Machines []Machine `json:"berths"`
+	More     bool      `json:"truncated"`
+}
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -31,11 +31,11 @@
 
 // PeerStatus is what a node says of itself at every beat.
 type PeerStatus struct {
-	Term    uint64
-	Leader  string
-	StateOK bool
-	Links   []string // peers that this node has a link to
-	Keeps   uint64   // of a thousand workers the leader answers so many itself
+	Term        uint64
+	Leader      string
+	StateOK     bool
+	Links       []string // peers that this node has a link to
+	DirectShare uint64   // of a thousand workers the leader answers so many itself
 }
 
 // PeerReport carries a worker's report to the leader.
@@ -70,19 +70,19 @@
 // goes only to a node that has announced PeerKnowsCancelled.
 type PeerCancelled struct{ Job string }
 
-// PeerAsk has a node vouch for what it has told users and for not leading. ID is
+// PeerConfirmRequest has a node confirm for what it has told users and for not leading. ID is
 // the asker's, and comes back.
-type PeerAsk struct{ ID uint64 }
+type PeerConfirmRequest struct{ ID uint64 }
 
-// PeerVouch answers: at the time of writing the node led under that term, or not if
-// it is 0, had been up for so long, and had told users of no cancellation that is
+// PeerConfirm answers: at the time of writing the node led under that term, or not if
+// it is 0, had been up for so long, and had confirmed to users no cancellation that is
 // younger than they may take but these.
-type PeerVouch struct {
-	ID      uint64
-	Term    uint64
-	UpMs    uint64
-	Whole   bool // false: there were too many to name, or the node cannot say
-	Cancels []string
+type PeerConfirm struct {
+	ID       uint64
+	Term     uint64
+	UpMs     uint64
+	Complete bool // false: there were too many to name, or the node cannot say
+	Cancels  []string
 }
 
 // Levels of what a node knows. A node announces its own in a form that the first
@@ -98,7 +98,7 @@
 // announcementID is no request's: those count from a 40-bit number.
 const announcementID = math.MaxUint64
 
-// Announcement says to a sibling what this node knows.
+// Announcement says to a peer what this node knows.
 func Announcement(target string) PeerMessage {
 	return PeerAnswer{ID: announcementID, Target: target, Status: PeerLevel, Body: []byte{}}
 }
@@ -120,15 +120,15 @@
 	Body    []byte
 }
 
-func (PeerHello) kind() byte     { return 1 }
-func (PeerStatus) kind() byte    { return 2 }
-func (PeerReport) kind() byte    { return 3 }
-func (PeerAnswer) kind() byte    { return 4 }
-func (PeerRequest) kind() byte   { return 5 }
-func (PeerCall) kind() byte      { return 6 }
-func (PeerCancelled) kind() byte { return 7 }
-func (PeerAsk) kind() byte       { return 8 }
-func (PeerVouch) kind() byte     { return 9 }
+func (PeerHello) kind() byte          { return 1 }
+func (PeerStatus) kind() byte         { return 2 }
+func (PeerReport) kind() byte         { return 3 }
+func (PeerAnswer) kind() byte         { return 4 }
+func (PeerRequest) kind() byte        { return 5 }
+func (PeerCall) kind() byte           { return 6 }
+func (PeerCancelled) kind() byte      { return 7 }
+func (PeerConfirmRequest) kind() byte { return 8 }
+func (PeerConfirm) kind() byte        { return 9 }
 
 type encoder struct{ b []byte }
 
@@ -218,7 +218,7 @@
 		e.str(m.Leader)
 		e.flag(m.StateOK)
 		e.strs(m.Links)
-		e.num(m.Keeps)
+		e.num(m.DirectShare)
 	case PeerReport:
 		e.num(m.ID)
 		e.str(m.Origin)
@@ -245,13 +245,13 @@
 		e.str(string(m.Body))
 	case PeerCancelled:
 		e.str(m.Job)
-	case PeerAsk:
+	case PeerConfirmRequest:
 		e.num(m.ID)
-	case PeerVouch:
+	case PeerConfirm:
 		e.num(m.ID)
 		e.num(m.Term)
 		e.num(m.UpMs)
-		e.flag(m.Whole)
+		e.flag(m.Complete)
 		e.strs(m.Cancels)
 	}
 	binary.BigEndian.PutUint32(e.b[start+4:], uint32(len(e.b)-start-peerHeader))
@@ -326,7 +326,7 @@
 	case PeerHello{}.kind():
 		m = PeerHello{Node: d.str()}
 	case PeerStatus{}.kind():
-		m = PeerStatus{Term: d.num(), Leader: d.str(), StateOK: d.flag(), Links: d.strs(), Keeps: d.num()}
+		m = PeerStatus{Term: d.num(), Leader: d.str(), StateOK: d.flag(), Links: d.strs(), DirectShare: d.num()}
 	case PeerReport{}.kind():
 		m = PeerReport{ID: d.num(), Origin: d.str(), Target: d.str(), Hops: d.num(), Report: d.report()}
 	case PeerAnswer{}.kind():
@@ -337,10 +337,10 @@
 		m = PeerCall{ID: d.num(), Origin: d.str(), Address: d.str(), Body: []byte(d.str())}
 	case PeerCancelled{}.kind():
 		m = PeerCancelled{Job: d.str()}
-	case PeerAsk{}.kind():
-		m = PeerAsk{ID: d.num()}
-	case PeerVouch{}.kind():
-		m = PeerVouch{ID: d.num(), Term: d.num(), UpMs: d.num(), Whole: d.flag(), Cancels: d.strs()}
+	case PeerConfirmRequest{}.kind():
+		m = PeerConfirmRequest{ID: d.num()}
+	case PeerConfirm{}.kind():
+		m = PeerConfirm{ID: d.num(), Term: d.num(), UpMs: d.num(), Complete: d.flag(), Cancels: d.strs()}
 	default:
 		return nil, fmt.Errorf("%w: kind %d", ErrFrame, kind)
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -174,12 +174,12 @@
 	n := 7.5
 	return []PeerMessage{
 		PeerHello{Node: "a"},
-		PeerStatus{Term: 9, Leader: "b", StateOK: true, Links: []string{"a", "c"}, Keeps: 250},
+		PeerStatus{Term: 9, Leader: "b", StateOK: true, Links: []string{"a", "c"}, DirectShare: 250},
 		PeerCall{ID: 4, Origin: "a", Address: "h:1", Body: []byte("{}")},
 		PeerCancelled{Job: "run-000412"},
-		PeerAsk{ID: 1 << 40},
-		PeerVouch{ID: 1 << 40, UpMs: 7000, Whole: true, Cancels: []string{"run-000412", "run-2"}},
-		PeerVouch{ID: 3, Term: 9},
+		PeerConfirmRequest{ID: 1 << 40},
+		PeerConfirm{ID: 1 << 40, UpMs: 7000, Complete: true, Cancels: []string{"run-000412", "run-2"}},
+		PeerConfirm{ID: 3, Term: 9},
 		Announcement("berth-1"),
 		PeerReport{ID: 1, Origin: "a", Target: "b", Hops: 1, Report: &Report{Machine: "i-1", Address: "h:1", Type: "t", Zone: "z", Spot: true,
 			Session: 2, Seq: 3, Token: 4, NoticeS: &n, Tasks: []TaskReport{{Task: "run-1/0", Attempt: 1, State: TaskExited, Cause: CauseDone, Saved: true}}}},
--- /dev/null
+++ b/internal/protocol/state.go
@@ -0,0 +1,72 @@
+package protocol
+
+import (
+	"encoding/json"
+)
+
+// Entry is a key of the state service. Stamp is the revision of its last
+// change.
+type Entry struct {
+	Key      string          `json:"k"`
+	Value    json.RawMessage `json:"data"`
+	Revision uint64          `json:"stamp"`
+	Lease    uint64          `json:"permit,omitempty"`
+}
+
+// Entries is a page of keys.
+type Entries struct {
+	Items    []Entry `json:"entries"`
+	More     bool    `json:"truncated"`
+	Revision uint64  `json:"ledger"`
+}
+
+// Condition demands that a key's last change is the given revision; 0: the
+// key does not exist.
+type Condition struct {
+	Key      string `json:"k"`
+	Revision uint64 `json:"stamp"`
+}
+
+// Change writes or deletes a key.
+type Change struct {
+	Set    string          `json:"set,omitempty"`
+	Value  json.RawMessage `json:"data,omitempty"`
+	Lease  uint64          `json:"permit,omitempty"`
+	Delete string          `json:"delete,omitempty"`
+}
+
+// Txn is an atomic transaction.
+type Txn struct {
+	If   []Condition `json:"if"`
+	Then []Change    `json:"apply,omitempty"`
+}
+
+// TxnAnswer is the answer to a transaction, done or refused.
+type TxnAnswer struct {
+	Revision uint64   `json:"ledger"`
+	Failed   []string `json:"failed"`
+}
+
+// LeaseRequest asks for a lease; LeaseAnswer names it.
+type LeaseRequest struct {
+	TTLMs int64 `json:"ttl_ms"`
+}
+
+// LeaseAnswer names a new lease.
+type LeaseAnswer struct {
+	Lease uint64 `json:"permit"`
+}
+
+// WatchEvent is one change that a watch saw.
+type WatchEvent struct {
+	Set      string          `json:"set"`
+	Value    json.RawMessage `json:"data"`
+	Delete   string          `json:"delete"`
+	Revision uint64          `json:"stamp"`
+}
+
+// WatchAnswer is what a watch returns.
+type WatchAnswer struct {
+	Revision uint64       `json:"ledger"`
+	Events   []WatchEvent `json:"news"`
+}
--- /dev/null
+++ b/internal/protocol/worker.go
@@ -0,0 +1,135 @@
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// States of a task on a worker.
+const (
+	TaskFetching = "fetching"
+	TaskWaiting  = "waiting"
+	TaskRunning  = "running"
+	TaskSaving   = "saving"
+	TaskExited   = "exited"
+)
+
+// Causes of a task's exit.
+const (
+	CauseDone        = "done"
+	CauseStopped     = "stopped"
+	CauseGangBroken  = "mates_gone"
+	CauseGangTimeout = "alone"
+	CauseError       = "error"
+	CauseNoRoom      = "full"
+	CauseBusy        = "in_use"
+	CauseUnknown     = "no_such"
+)
+
+// Verbs of a worker's commands.
+const (
+	OpStart  = "start"
+	OpStop   = "halt"
+	OpForget = "reap"
+)
+
+// TaskReport is one task in a worker's report.
+type TaskReport struct {
+	Task    string `json:"piece"`
+	Attempt uint64 `json:"try"`
+	State   string `json:"phase"`
+	Cause   string `json:"cause,omitempty"`
+	Saved   bool   `json:"kept,omitempty"`
+}
+
+// Report is a worker's report.
+type Report struct {
+	Machine string       `json:"berth"`
+	Address string       `json:"address"`
+	Type    string       `json:"build"`
+	Zone    string       `json:"yard"`
+	Spot    bool         `json:"loaners"`
+	Session uint64       `json:"tenure"`
+	Seq     uint64       `json:"tally"`
+	Token   uint64       `json:"warrant"`
+	NoticeS *float64     `json:"recall_s"`
+	Tasks   []TaskReport `json:"pieces"`
+}
+
+// Newer says whether r is a newer message than (session, seq).
+func (r *Report) Newer(session, seq uint64) bool {
+	return r.Session > session || r.Session == session && r.Seq > seq
+}
+
+// ParseReport decodes and validates a worker's report.
+func ParseReport(body []byte) (*Report, error) {
+	var r Report
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, fmt.Errorf("not valid JSON for a report: %w", err)
+	}
+	if r.Machine == "" || len(r.Machine) > maxName || strings.ContainsAny(r.Machine, " /") || r.Session == 0 {
+		return nil, errors.New("a report needs a machine's name and a session")
+	}
+	return &r, nil
+}
+
+// SplitTask takes a task's name, such as run-000412/3, apart.
+func SplitTask(name string) (job string, index int, ok bool) {
+	job, rest, ok := strings.Cut(name, "/")
+	if !ok || !ValidID(job) {
+		return "", 0, false
+	}
+	index, err := strconv.Atoi(rest)
+	if err != nil || index < 0 || index >= MaxTasks {
+		return "", 0, false
+	}
+	return job, index, true
+}
+
+// TaskName is the name of a job's task.
+func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
+// Command is one order to a worker.
+type Command struct {
+	Op      string  `json:"verb"`
+	Task    string  `json:"piece"`
+	Attempt uint64  `json:"try"`
+	GraceS  float64 `json:"leeway_s,omitempty"`
+}
+
+// MarshalJSON writes the grace for a stop even when it is zero.
+func (c Command) MarshalJSON() ([]byte, error) {
+	b := make([]byte, 0, 80)
+	b = append(b, `{"verb":"`...)
+	b = append(b, c.Op...)
+	b = append(b, `","piece":`...)
+	b = strconv.AppendQuote(b, c.Task)
+	b = append(b, `,"try":`...)
+	b = strconv.AppendUint(b, c.Attempt, 10)
+	if c.Op == OpStop {
+		b = append(b, `,"leeway_s":`...)
+		b = strconv.AppendFloat(b, c.GraceS, 'f', -1, 64)
+	}
+	return append(b, '}'), nil
+}
+
+// ReportAnswer is the answer to a report that was taken.
+type ReportAnswer struct {
+	Token    uint64    `json:"warrant"`
+	Commands []Command `json:"orders"`
+}
+
+// Redirect sends a worker to another node.
+type Redirect struct {
+	ReportTo string `json:"steward,omitempty"`
+}
+
+// Orders is a direct command to a worker.
+type Orders struct {
+	Token    uint64    `json:"warrant"`
+	Session  uint64    `json:"tenure"`
+	Commands []Command `json:"orders"`
+}
--- /dev/null
+++ b/internal/simulation/cloud_service.go
@@ -0,0 +1,159 @@
+package simulation
+
+import (
+	"cmp"
+	"fmt"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/gappond/gappond/internal/protocol"
+	"golang.org/x/time/rate"
+)
+
+// cloudService is a stand-in for the cloud.
+type cloudService struct {
+	w        *World
+	hosts    []*host
+	rented   map[string][]string
+	next     int
+	down     bool
+	capacity int
+	calls    *rate.Limiter
+	requests int
+	history  []snapshot
+	quick    bool // machines are up within two seconds
+}
+
+type host struct {
+	protocol.Machine
+	born time.Time
+	gone bool
+}
+
+type snapshot struct {
+	at   time.Time
+	list []protocol.Machine
+}
+
+func newCloudService(w *World) *cloudService {
+	c := &cloudService{w: w, rented: map[string][]string{}, capacity: w.shape.Capacity,
+		calls: rate.NewLimiter(rate.Limit(w.shape.Cloud.RPS), int(2*w.shape.Cloud.RPS))}
+	var tick func()
+	tick = func() {
+		var list []protocol.Machine
+		for _, h := range c.hosts {
+			if !h.gone {
+				m := h.Machine
+				m.AgeS = w.Now.Sub(h.born).Seconds()
+				list = append(list, m)
+			}
+		}
+		c.history = append(c.history, snapshot{w.Now, list})
+		if len(c.history) > 30 {
+			c.history = c.history[1:]
+		}
+		w.after(500*time.Millisecond, tick)
+	}
+	w.after(0, tick)
+	for i := range w.shape.Machines {
+		c.add(w.shape.Zones[i%len(w.shape.Zones)], false, 0)
+	}
+	return c
+}
+
+func (c *cloudService) add(zone string, spot bool, boot time.Duration) string {
+	c.next++
+	id := fmt.Sprintf("i-%06d", c.next)
+	h := &host{Machine: protocol.Machine{ID: id, Address: id, Type: c.w.shape.Type.Name, Zone: zone, Spot: spot, Phase: protocol.MachineBooting}, born: c.w.Now}
+	c.hosts = append(c.hosts, h)
+	c.w.zoneOf[id] = zone
+	c.w.after(boot, func() {
+		if !h.gone {
+			h.Phase = protocol.MachineRunning
+			c.w.workers[id] = newWorker(c.w, h)
+		}
+	})
+	return id
+}
+
+// destroy takes a machine and everything on it away at once.
+func (c *cloudService) destroy(h *host) {
+	h.gone = true
+	if k := c.w.workers[h.ID]; k != nil {
+		k.kill()
+		delete(c.w.workers, h.ID)
+	}
+}
+
+func (c *cloudService) serve(method, path string, body []byte, answer func(int, []byte)) {
+	c.requests++
+	if c.down {
+		answer(503, encode(protocol.ErrorBody{Error: "trouble"}))
+		return
+	}
+	if !c.calls.AllowN(c.w.Now, 1) {
+		answer(429, nil)
+		return
+	}
+	u, _ := url.Parse(path)
+	switch {
+	case u.Path == protocol.PathMachineTypes:
+		answer(200, encode(protocol.MachineTypes{Types: []protocol.MachineType{c.w.shape.Type}}))
+	case u.Path == protocol.PathMachines && method == "GET":
+		lag := c.w.between(4*time.Second, 10*time.Second)
+		var list []protocol.Machine
+		for _, s := range c.history {
+			if c.w.Now.Sub(s.at) >= lag {
+				list = s.list
+			}
+		}
+		from, found := slices.BinarySearchFunc(list, u.Query().Get("after"), func(m protocol.Machine, id string) int { return cmp.Compare(m.ID, id) })
+		if found {
+			from++
+		}
+		limit, _ := strconv.Atoi(u.Query().Get("page"))
+		list = list[from:]
+		answer(200, encode(protocol.MachineList{Machines: list[:min(limit, len(list))], More: len(list) > limit}))
+	case u.Path == protocol.PathMachines:
+		var r protocol.Rental
+		decode(body, &r)
+		if names, ok := c.rented[r.Request]; ok {
+			answer(200, encode(protocol.MachineNames{Machines: names}))
+			return
+		}
+		up := 0
+		for _, h := range c.hosts {
+			if !h.gone {
+				up++
+			}
+		}
+		if up >= c.capacity {
+			answer(503, encode(protocol.ErrorBody{Error: protocol.NoCapacity}))
+			return
+		}
+		var names []string
+		for range min(r.Count, c.capacity-up) {
+			boot := c.w.between(12*time.Second, 30*time.Second)
+			if c.w.rng.IntN(20) == 0 {
+				boot = time.Hour // never comes up
+			}
+			if c.quick {
+				boot = c.w.between(100*time.Millisecond, 2*time.Second)
+			}
+			names = append(names, c.add(r.Zone, r.Spot, boot))
+		}
+		c.rented[r.Request] = names
+		answer(200, encode(protocol.MachineNames{Machines: names}))
+	default:
+		var r protocol.MachineNames
+		decode(body, &r)
+		for _, h := range c.hosts {
+			if slices.Contains(r.Machines, h.ID) && !h.gone {
+				c.destroy(h)
+			}
+		}
+		answer(200, encode(struct{}{}))
+	}
+}
--- /dev/null
+++ b/internal/simulation/fault_combinations_test.go
@@ -0,0 +1,320 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+// waitBeside is how long a job may wait beside room for it once all faults are
+// over.
+const waitBeside = 90 * time.Second
+
+// faultCombination is a pair or more of faults that fall together, in a deployment that
+// works at its limit.
+type faultCombination struct {
+	name  string
+	shape func(s *Shape)
+	play  func(w *World)
+	most  int // starts after a confirmed cancellation, held-up commands apart
+}
+
+var faultCombinations = []faultCombination{
+	{name: "jobs bound to a zone lose machines", play: func(w *World) {
+		for i := range 6 {
+			s := array(fmt.Sprintf("run-80001%d", i), 4)
+			s.OneZone = true
+			if i%2 == 0 {
+				s.Shape = protocol.ShapeGang
+			}
+			w.submit(time.Duration(i)*time.Second, s, 40, 0, false)
+		}
+		w.every(6*time.Second, 6, func(int) {
+			for _, k := range w.someWorkers(1) {
+				k.kill()
+				delete(w.workers, k.h.ID)
+			}
+		})
+		w.after(15*time.Second, func() { w.replace(time.Second) })
+	}},
+	{name: "a cancellation, a question and a repeated submission meet the end", play: func(w *World) {
+		w.atEnd, w.close = 0.7, true
+		w.after(60*time.Second, func() { w.replace(300 * time.Millisecond) })
+		w.after(110*time.Second, func() { w.atEnd = 0 })
+	}},
+	{name: "jobs are cancelled while the lead changes hands", play: func(w *World) {
+		w.every(14*time.Second, 6, func(i int) {
+			w.replace(time.Duration(100+i*700) * time.Millisecond)
+			w.every(700*time.Millisecond, 6, func(int) { w.cancelNow(1, 0) })
+		})
+	}, most: 4},
+	{name: "a team at its limit, some machines cannot be asked, the leader changes", play: func(w *World) {
+		w.every(25*time.Second, 4, func(i int) {
+			for _, k := range w.someWorkers(2) {
+				id := k.h.ID
+				w.interrupt(18*time.Second, i%2 == 0, func(a, _ string) bool { return a == id })
+			}
+			w.after(2*time.Second, func() { w.replace(time.Second) })
+			w.after(3*time.Second, func() { w.cancelNow(4, 0) })
+		})
+	}, most: 8},
+	{name: "a report is held back until a new leader has acted", play: func(w *World) {
+		w.every(30*time.Second, 4, func(int) {
+			for _, k := range w.someWorkers(3) {
+				id := k.h.ID
+				held := &cut{hold: true, match: func(a, _ string) bool { return a == id }}
+				w.cuts = append(w.cuts, held)
+				w.after(12*time.Second, func() { w.mend(held) })
+			}
+			w.after(time.Second, func() { w.replace(20 * time.Second) })
+		})
+	}},
+	{name: "transactions are carried out late, after newer ones", play: func(w *World) {
+		w.state.lose(0.3, false, 100*time.Second)
+		w.after(40*time.Second, func() { w.replace(200 * time.Millisecond) })
+		w.after(70*time.Second, func() { w.replace(5 * time.Second) })
+	}, most: 2},
+	{name: "machines are up at once while writes lag, and the leader ends", shape: func(s *Shape) { s.Machines = 2 }, play: func(w *World) {
+		w.cloud.quick = true
+		w.every(15*time.Second, 6, func(i int) {
+			w.state.lose(0.4, i%2 == 0, 10*time.Second)
+			w.after(w.between(time.Second, 6*time.Second), func() { w.replace(500 * time.Millisecond) })
+		})
+	}},
+	{name: "users ask all nodes within milliseconds, some cancel at once", play: func(w *World) {
+		w.close = true
+		w.every(time.Second, 100, func(i int) {
+			var cancel time.Duration
+			if i%3 == 0 {
+				cancel = w.between(time.Millisecond, 80*time.Millisecond)
+			}
+			w.submit(0, array(fmt.Sprintf("run-8002%02d", i), 1), 3, cancel, false)
+		})
+		w.every(30*time.Second, 3, func(int) { w.replace(400 * time.Millisecond) })
+	}, most: 2},
+	{name: "controllers hand over and back, all end, one returns within a second", play: func(w *World) {
+		w.every(10*time.Second, 9, func(i int) {
+			if i%3 < 2 {
+				w.replace(w.between(50*time.Millisecond, 900*time.Millisecond))
+				return
+			}
+			for k, c := range w.nodes {
+				c.crash(time.Duration(400+k*4000) * time.Millisecond)
+			}
+		})
+	}},
+	{name: "the gap", play: func(w *World) {
+		w.every(100*time.Second, 2, func(int) {
+			if c := w.leader(); c != nil {
+				// Its watches hang while renewals pass: it knows of no cancellation.
+				w.state.blind = c
+				w.after(500*time.Millisecond, func() { w.cancelNow(20, 0) })
+				w.after(9*time.Second, func() { w.state.outage(61 * time.Second) })
+				w.after(75*time.Second, func() { w.state.blind = nil })
+			}
+		})
+	}, most: 20},
+	{name: "the leader alone is refused, then everybody", play: func(w *World) {
+		w.every(90*time.Second, 2, func(i int) {
+			if c := w.leader(); c != nil {
+				w.state.refuse(c, 14*time.Second)
+				w.cancelNow(20, 0)
+				w.after(time.Duration(1+i)*time.Second, func() { w.state.outage(58 * time.Second) })
+			}
+		})
+	}, most: 4},
+	{name: "a leader without state service and siblings keeps workers and users", play: func(w *World) {
+		w.every(60*time.Second, 2, func(i int) {
+			if c := w.leader(); c != nil {
+				w.isolate(c, 40*time.Second, i == 0)
+				w.after(6*time.Second, func() { w.cancelNow(12, 0) })
+				w.after(9*time.Second, func() { w.cancelNow(12, 0) })
+			}
+		})
+	}, most: 6},
+	{name: "workers open no connections, calls reach them", play: func(w *World) {
+		w.every(45*time.Second, 3, func(i int) {
+			w.blockReports([]int{1, 3, 99}[i], 35*time.Second)
+			w.after(10*time.Second, func() { w.cancelNow(4, 0) })
+			w.after(14*time.Second, func() { w.replace(2 * time.Second) })
+		})
+	}, most: 4},
+	{name: "all controllers are away for longer than a lease", play: func(w *World) {
+		w.after(20*time.Second, func() {
+			for _, c := range w.nodes {
+				c.crash(secs(w.shape.Workers.LeaseS) + w.between(2*time.Second, 9*time.Second))
+			}
+		})
+	}},
+	{name: "jobs of a few tasks end far apart across changes of leader", play: func(w *World) {
+		for i := range 8 {
+			u := w.submit(time.Duration(i)*time.Second, array(fmt.Sprintf("run-80003%d", i), 2+i%2), 60, 0, false)
+			u.j.progress[0], u.j.progress[1] = 55, 25
+		}
+		w.every(13*time.Second, 6, func(int) { w.replace(1500 * time.Millisecond) })
+	}},
+	{name: "commands and answers are held up and the machine goes on", play: func(w *World) {
+		w.every(12*time.Second, 8, func(i int) {
+			for _, k := range w.someWorkers(2) {
+				k.hang(w.between(2*time.Second, 20*time.Second))
+			}
+			w.after(time.Second, func() { w.cancelNow(1, 0) })
+			if i%3 == 1 {
+				w.replace(time.Second)
+			}
+		})
+	}, most: 6},
+	{name: "leaders change ten times in two minutes, also in an outage", play: func(w *World) {
+		w.every(12*time.Second, 10, func(i int) {
+			w.replace(w.between(100*time.Millisecond, 5*time.Second))
+			if i == 4 {
+				w.state.outage(15 * time.Second)
+			}
+		})
+	}},
+	{name: "a leader ends while machines with long tasks are cut off or deaf", play: func(w *World) {
+		w.every(40*time.Second, 3, func(i int) {
+			for n, k := range w.someWorkers(3) {
+				if n == 0 {
+					w.blockInbound(k.h.ID, 35*time.Second, i%2 == 0)
+				} else {
+					id := k.h.ID
+					w.interrupt(15*time.Second, true, func(a, _ string) bool { return a == id })
+				}
+			}
+			w.after(2*time.Second, func() { w.replace(3 * time.Second) })
+		})
+	}},
+	{name: "a zone with a controller is cut off for longer than a lease", play: func(w *World) {
+		for i, hold := range []bool{true, false} {
+			w.after(time.Duration(i)*70*time.Second, func() {
+				w.interrupt(45*time.Second, hold, func(a, _ string) bool { return w.zoneOf[a] == "east" })
+				w.after(10*time.Second, func() { w.cancelNow(6, 0) })
+			})
+		}
+	}, most: 6},
+	{name: "old reports reach every controller as a new leader begins", play: func(w *World) {
+		w.every(25*time.Second, 5, func(i int) {
+			w.forNext(24 * time.Second)
+			w.after(15*time.Second, func() {
+				for _, k := range w.someWorkers(1) {
+					k.kill()
+					delete(w.workers, k.h.ID)
+				}
+				w.cancelNow(2, 0)
+				w.replace(time.Duration(i) * 400 * time.Millisecond)
+			})
+		})
+	}, most: 2},
+	{name: "more work than room, urgent and not, over slow links", play: func(w *World) {
+		w.load(30, 40*time.Second)
+		w.state.slow = 150 * time.Millisecond
+		w.after(100*time.Second, func() { w.state.slow = 0 })
+		w.after(50*time.Second, func() { w.replace(2 * time.Second) })
+	}, most: 4},
+	{name: "transactions are carried out at once and their answers lost", play: func(w *World) {
+		w.close = true
+		w.state.lose(0.4, true, 110*time.Second)
+		w.after(50*time.Second, func() { w.replace(time.Second) })
+	}, most: 4},
+	{name: "old reports arrive after newer ones, of earlier sessions and attempts", play: func(w *World) {
+		w.copies = 3 * secs(w.shape.Workers.LeaseS)
+		w.after(110*time.Second, func() { w.copies = 0 })
+		w.every(30*time.Second, 4, func(i int) {
+			for _, k := range w.someWorkers(2) {
+				w.blockInbound(k.h.ID, secs(w.shape.Workers.LeaseS)+3*time.Second, i%2 == 0)
+			}
+			w.after(10*time.Second, func() { w.replace(time.Second) })
+		})
+	}, most: 2},
+	{name: "teams at their limits, cancelled jobs' machines are cut off or hang, the leader changes", play: func(w *World) {
+		for i := range 10 {
+			s := array(fmt.Sprintf("run-80004%d", i), 6)
+			s.Team = []string{"red", "blue"}[i%2]
+			w.submit(0, s, 45, 0, false)
+		}
+		w.every(22*time.Second, 5, func(i int) {
+			w.cancelNow(5, 20*time.Second)
+			for _, k := range w.someWorkers(1) {
+				id := k.h.ID
+				w.interrupt(20*time.Second, i%2 == 0, func(a, _ string) bool { return a == id })
+			}
+			w.after(time.Duration(i)*time.Second, func() { w.replace(2 * time.Second) })
+		})
+	}, most: 10},
+	{name: "the state service is slow, refuses the leader, then everybody, while users cancel and ask", play: func(w *World) {
+		w.close = true
+		w.state.slow = 300 * time.Millisecond
+		w.every(3*time.Second, 12, func(int) { w.cancelNow(1, 0) })
+		w.after(20*time.Second, func() {
+			if c := w.leader(); c != nil {
+				w.state.refuse(c, 20*time.Second)
+			}
+		})
+		w.after(26*time.Second, func() { w.state.outage(secs(w.shape.Workers.CancelS) + 6*time.Second) })
+		w.after(95*time.Second, func() { w.state.slow = 0 })
+	}, most: 4},
+	{name: "one-task jobs come four a second, a quarter cancelled", shape: func(s *Shape) {
+		s.State.RPS, s.State.WriteRPS, s.State.TxnOps, s.Capacity = 300, 50, 12, 30
+	}, play: func(w *World) {
+		w.every(250*time.Millisecond, 400, func(i int) {
+			var cancel time.Duration
+			if i%4 == 0 {
+				cancel = w.between(10*time.Millisecond, 8*time.Second)
+			}
+			w.submit(0, array(fmt.Sprintf("run-81%04d", i), 1), 4, cancel, false)
+		})
+	}, most: 10},
+}
+
+// TestFaultCombinations plays every meeting of faults on a few seeds, over work of every
+// shape, with reports going to the leader and by way of the other controllers. All
+// rules are checked at every step, and once the faults are over that no job is
+// forgotten, none waits beside room for it and all end.
+func TestFaultCombinations(t *testing.T) {
+	seeds := uint64(6)
+	if testing.Short() {
+		seeds = 2
+	}
+	for _, m := range faultCombinations {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			late := 0
+			for seed := range seeds {
+				shape := Small()
+				if seed%2 == 1 {
+					shape = tiny()
+				}
+				if m.shape != nil {
+					m.shape(&shape)
+				}
+				late += m.run(t, 500+seed, shape)
+			}
+			if late > (m.most+1)*int(seeds) { // one may be on its way at any time
+				t.Errorf("%d starts after a confirmed cancellation", late)
+			}
+		})
+	}
+}
+
+func (m *faultCombination) run(t *testing.T, seed uint64, shape Shape) (late int) {
+	t.Helper()
+	w := NewShaped(seed, logs(), shape)
+	w.load(16, 60*time.Second)
+	w.Run(20 * time.Second)
+	m.play(w)
+	w.Run(200 * time.Second)
+	w.atEnd, w.close, w.cloud.quick = 0, false, false
+	w.faultsOver = w.Now
+	w.left()
+	w.end()
+	if w.rules.started == 0 {
+		t.Errorf("seed %d: nothing ran", seed)
+	}
+	for _, f := range w.rules.failures {
+		t.Errorf("seed %d: %s", seed, f)
+	}
+	return w.rules.late
+}
--- /dev/null
+++ b/internal/simulation/fault_injection_test.go
@@ -0,0 +1,249 @@
+package simulation
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gappond/gappond/internal/coordination"
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+// someWorkers draws up to n machines.
+func (w *World) someWorkers(n int) (list []*worker) {
+	for _, h := range w.cloud.hosts {
+		if k := w.workers[h.ID]; k != nil {
+			list = append(list, k)
+		}
+	}
+	w.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+// not reporting lets machines reach no controller for a while, though calls reach them.
+func (w *World) blockReports(n int, d time.Duration) {
+	for _, k := range w.someWorkers(n) {
+		k.mute = true
+		w.after(d, func() { k.mute = false })
+	}
+}
+
+// forNext keeps copies of the reports of a while; every controller gets them just
+// as the next leader begins.
+func (w *World) forNext(d time.Duration) {
+	w.keep, w.kept = true, nil
+	was := w.leader()
+	var look func()
+	look = func() {
+		if c := w.leader(); c != nil && c != was {
+			w.keep = false
+			for _, body := range w.kept {
+				for _, n := range w.nodes {
+					w.after(w.between(0, 20*time.Millisecond), func() { w.copyReport(n, body) })
+				}
+			}
+			w.kept = nil
+			return
+		}
+		d -= 5 * time.Millisecond
+		if d > 0 {
+			w.after(5*time.Millisecond, look)
+		} else {
+			w.keep, w.kept = false, nil
+		}
+	}
+	look()
+}
+
+// cancelNow has users call off up to n jobs that run, within a fifth of a second;
+// the machines of some hang.
+func (w *World) cancelNow(n int, hang time.Duration) {
+	for _, u := range w.users {
+		if n == 0 {
+			return
+		}
+		task := w.rules.onAt[protocol.TaskName(u.j.spec.ID, 0)]
+		if !u.accepted || u.asked || u.over || task == nil {
+			continue
+		}
+		n--
+		w.after(w.between(0, 200*time.Millisecond), u.cancel)
+		if hang > 0 && w.rng.IntN(2) == 0 {
+			task.k.hang(hang)
+		}
+	}
+}
+
+// replace ends the leader; it is back after a while.
+func (w *World) replace(back time.Duration) {
+	if c := w.leader(); c != nil {
+		c.crash(back)
+	}
+}
+
+// oddRequests has users repeat submissions, cancel what is over and send what can
+// never run.
+func (w *World) oddRequests(d time.Duration) {
+	for i := range int(d / (500 * time.Millisecond)) {
+		w.after(time.Duration(i)*500*time.Millisecond, func() {
+			c := w.nodes[w.rng.IntN(len(w.nodes))]
+			if u := w.users[w.rng.IntN(len(w.users))]; u.accepted {
+				u.look()
+				if u.over {
+					told := u.phase
+					c.ask(func(id uint64) coordination.Event { return coordination.Cancel{ID: id, Job: u.j.spec.ID} }, func(status int, body []byte) {
+						var a protocol.Accepted
+						if decode(body, &a); status == 200 && a.Phase != told {
+							w.rules.violated("went_back", "%s was %s and is %s when cancelled", a.ID, told, a.Phase)
+						}
+					})
+				}
+			}
+			s := array(fmt.Sprintf("run-9%05d", w.rng.IntN(100_000)), 2)
+			switch w.rng.IntN(5) {
+			case 0:
+				s.CPUs = 1000
+			case 1:
+				s.Team = "nobody"
+			case 2:
+				s.Team, s.GPUs, s.Shape, s.Tasks = "red", 4, protocol.ShapeGang, 3
+			case 3:
+				s.Zone = "nowhere"
+			case 4:
+				s.Shape, s.OneZone, s.Spread = protocol.ShapeGang, true, true
+			}
+			c.ask(func(id uint64) coordination.Event { return coordination.Submit{ID: id, Job: s} }, func(status int, _ []byte) {
+				if status == 200 || status == 201 {
+					w.rules.violated("accepted", "%+v can never run", *s)
+				}
+			})
+		})
+	}
+}
+
+// combinedFaults are further kinds for random days, which so meet all others.
+func (w *World) combinedFaults(node *controller, someone *worker, span time.Duration) []func() string {
+	return []func() string{
+		func() string { w.state.lose(0.3, false, span); return "transactions late" },
+		func() string { w.state.lose(0.3, true, span); return "answers to transactions lost" },
+		func() string { w.blockReports(2, span); return "machines mute" },
+		func() string { w.forNext(2 * span); return "copies kept for the next leader" },
+		func() string { w.cancelNow(4, span); return "jobs called off, machines hang" },
+		func() string {
+			w.atEnd = 0.5
+			w.after(span, func() { w.atEnd = 0 })
+			return "jobs called off at their end"
+		},
+		func() string {
+			w.close = true
+			w.after(span, func() { w.close = false })
+			return "users look closely"
+		},
+		func() string { w.oddRequests(min(span, 10*time.Second)); return "odd requests" },
+		func() string {
+			w.state.blind = node
+			w.after(span, func() { w.state.blind = nil })
+			return "watches of " + node.name + " hang"
+		},
+		func() string {
+			if c := w.leader(); c != nil {
+				w.state.refuse(c, 3*time.Second)
+				w.cancelNow(3, 0)
+				w.after(w.between(time.Second, 4*time.Second), func() { w.state.outage(span) })
+			}
+			return "the leader is refused, then all are"
+		},
+	}
+}
+
+// left checks, from calm on, that no job waits beside room for it.
+func (w *World) left() {
+	since := map[*user]time.Time{}
+	var look func()
+	look = func() {
+		for _, u := range w.users {
+			if !w.waitsBeside(u) {
+				delete(since, u)
+				continue
+			}
+			if since[u].IsZero() {
+				since[u] = w.Now
+			}
+			if w.Now.Sub(since[u]) > waitBeside {
+				w.rules.violated("left", "%s waits beside room for %v", u.j.spec.ID, w.Now.Sub(since[u]))
+				since[u] = w.Now
+			}
+		}
+		w.after(time.Second, look)
+	}
+	look()
+}
+
+// waitsBeside says whether an accepted job has a task nowhere while machines have
+// room for it, a gang for all, and its team is under its limit.
+func (w *World) waitsBeside(u *user) bool {
+	s := u.j.spec
+	if !u.accepted || u.asked || u.over || u.j.mistaken {
+		return false
+	}
+	want := 0
+	for i := range s.Tasks {
+		if w.rules.onAt[protocol.TaskName(s.ID, i)] == nil && !u.j.done[i] {
+			want++
+		}
+	}
+	if want == 0 || s.Gang() && want < s.Tasks {
+		return false
+	}
+	if !s.Gang() {
+		want = 1
+	}
+	for _, team := range w.shape.Teams {
+		if team.Name == s.Team && team.MaxGPUs > 0 && w.rules.use[s.Team]+s.GPUs*float64(want) > team.MaxGPUs+1e-6 {
+			return false
+		}
+	}
+	room := map[string]int{}
+	for _, k := range w.workers {
+		if k.hung || k.notice != nil || s.Zone != "" && s.Zone != k.h.Zone || k.h.Spot && !s.Spot {
+			continue
+		}
+		cpus, gpus, memory := w.shape.Type.CPUs, w.shape.Type.GPUs, w.shape.Type.MemoryGB
+		for _, t := range k.tasks {
+			if t.state != protocol.TaskExited {
+				cpus, gpus, memory = cpus-t.job.CPUs, gpus-t.job.GPUs, memory-t.job.MemoryGB
+			}
+		}
+		for cpus >= s.CPUs && gpus >= s.GPUs && memory >= s.MemoryGB && room[k.h.Zone] < want {
+			room[k.h.Zone]++
+			cpus, gpus, memory = cpus-s.CPUs, gpus-s.GPUs, memory-s.MemoryGB
+		}
+	}
+	if s.Spread && s.Tasks > 1 {
+		return false // what it may have of a zone depends on the others
+	}
+	for _, n := range room {
+		if n >= want {
+			return true
+		}
+	}
+	return false
+}
+
+// every does something again and again.
+func (w *World) every(d time.Duration, times int, do func(i int)) {
+	for i := range times {
+		w.after(time.Duration(i)*d, func() { do(i) })
+	}
+}
+
+// end lets a day come to its end: every job but a mistaken one must be over.
+func (w *World) end() {
+	for end := w.Now.Add(600 * time.Second); w.Now.Before(end) && !w.over(); {
+		w.Run(5 * time.Second)
+	}
+	for _, u := range w.users {
+		if !u.over && !u.j.mistaken {
+			w.rules.violated("liveness", "%s %s of %d tasks is still %q: done %v", u.j.spec.ID, u.j.spec.Shape, u.j.spec.Tasks, u.phase, u.j.done)
+		}
+	}
+}
--- a/internal/simulation/troubles_test.go
+++ b/internal/simulation/faults_test.go
@@ -48,7 +48,7 @@
 				w.waitFor(t, 20*time.Second, "it runs", func() bool { return w.running(u) })
 				w.after(time.Second+time.Millisecond, u.cancel)
 			}
-			w.deafen(id, 600*time.Second, hold)
+			w.blockInbound(id, 600*time.Second, hold)
 			w.Run(time.Second)
 			s := gangJob("run-000010", 4) // takes a whole machine of that zone
 			s.Zone = w.zoneOf[id]
@@ -64,7 +64,7 @@
 	}
 }
 
-// TestDeafMachineIsNotUsed: work on a deaf machine is given back by its own
+// TestDeafMachineIsNotUsed: work on a not receiving machine is given back by its own
 // newer session or its deletion, and a job that waits is started elsewhere.
 func TestDeafMachineIsNotUsed(t *testing.T) {
 	w := New(22, logs())
@@ -74,7 +74,7 @@
 	u := w.submit(0, s, 80, 0, false)
 	w.waitFor(t, 20*time.Second, "it runs", func() bool { return w.running(u) })
 	id := w.rules.onAt["run-000001/0"].k.h.ID
-	w.deafen(id, 400*time.Second, false)
+	w.blockInbound(id, 400*time.Second, false)
 	w.Run(secs(w.shape.Workers.LeaseS) + 2*time.Second)
 	took := w.waitFor(t, 60*time.Second, "it runs elsewhere", func() bool {
 		return w.running(u) && w.rules.onAt["run-000001/0"].k.h.ID != id
@@ -156,13 +156,13 @@
 }
 
 func containsName(value []byte, id string) bool {
-	var rack bookkeeping.Rack
+	var rack bookkeeping.MachineRecord
 	decode(value, &rack)
-	return slices.ContainsFunc(rack.Machines, func(r bookkeeping.Room) bool { return r.ID == id })
+	return slices.ContainsFunc(rack.Machines, func(r bookkeeping.MachineEntry) bool { return r.ID == id })
 }
 
 // TestCopyOfDeadMachine: a machine dies with its leader, and the next leader's
-// first sign of it is a copy of an old report. It gets no work.
+// first sign of it is a late duplicate of an old report. It gets no work.
 func TestCopyOfDeadMachine(t *testing.T) {
 	w := New(26, logs())
 	w.Run(6 * time.Second)
@@ -246,7 +246,7 @@
 			w.Run(w.between(100*time.Millisecond, 3*time.Second))
 		}
 		w.copies = 0
-		w.calm = w.Now
+		w.faultsOver = w.Now
 		took := w.waitFor(t, 15*time.Second, "somebody leads", func() bool { return w.leader() != nil })
 		if took > 6*time.Second {
 			t.Errorf("seed %d: a leader after %v", seed, took)
@@ -279,6 +279,6 @@
 	w.Run(30 * time.Second)
 	w.leader().crash(time.Second)
 	w.Run(10 * time.Second)
-	w.calm = w.Now
+	w.faultsOver = w.Now
 	w.finish(t, 500*time.Second)
 }
--- a/internal/simulation/fleet_test.go
+++ b/internal/simulation/fleet_test.go
@@ -67,7 +67,7 @@
 	if n, limit := w.calls-calls, int(21*shape.Resources.Cores*tuning.OrderShare/tuning.OrderCost.Seconds()); n > limit {
 		t.Errorf("%d calls to workers in 20 s, %d fit the controllers' share", n, limit)
 	}
-	w.calm = w.Now
+	w.faultsOver = w.Now
 	w.finish(t, 700*time.Second)
 	span := w.Now.Sub(time.Unix(1_800_000_000, 0)).Seconds()
 	t.Logf("%.0f s: %d steps, %d requests, %d changes, %d bytes, %d refused; at most %d calls to workers at once", span, w.steps, w.state.requests, w.state.changed, w.state.bytes, w.state.refused, w.most)
--- a/internal/simulation/replicas_test.go
+++ b/internal/simulation/replicas_test.go
@@ -18,7 +18,7 @@
 // share is the part of a service's replica time that was served.
 func (u *user) share() float64 { return float64(u.up) / float64(u.up+u.away) }
 
-// TestServices: what a service's replicas lose under each trouble is no more than
+// TestServices: what a service's replicas lose under each fault is no more than
 // the time that proof of their end and another start take; only its user ends it.
 func TestServices(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/simulation/scenario_test.go
+++ b/internal/simulation/scenario_test.go
@@ -61,7 +61,7 @@
 	return true
 }
 
-// TestCrashedLeader: a crashed leader is replaced soon after its claim lapses,
+// TestCrashedLeader: a crashed leader is replaced soon after its leader lease lapses,
 // and what runs goes on running.
 func TestCrashedLeader(t *testing.T) {
 	w := New(1, logs())
@@ -71,7 +71,7 @@
 	starts := w.rules.started
 	w.leader().crash(time.Minute)
 	took := w.waitFor(t, 10*time.Second, "another leads", func() bool { return w.leader() != nil })
-	if took > tuning.ClaimTTL+time.Second {
+	if took > tuning.LeaderLeaseTTL+time.Second {
 		t.Errorf("takeover after %v", took)
 	}
 	w.waitFor(t, 90*time.Second, "the gang is done", func() bool { return u.over })
@@ -155,7 +155,7 @@
 	if c.node.Ready() {
 		t.Error("ready")
 	}
-	// Users whose connections it still has are answered by a sibling.
+	// Users whose connections it still has are answered by a peer.
 	got := 0
 	c.ask(func(id uint64) coordination.Event { return coordination.Submit{ID: id, Job: array("run-000009", 1)} }, func(status int, _ []byte) { got = status })
 	w.Run(time.Second)
@@ -219,7 +219,7 @@
 }
 
 // TestManyPolls: far more polls than the state service's budget allows neither
-// exceed it nor keep the leader from its claim; every user gets an answer.
+// exceed it nor keep the leader from its leader lease; every user gets an answer.
 func TestManyPolls(t *testing.T) {
 	w := New(13, logs())
 	w.Run(5 * time.Second)
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// trouble injects one fault of a kind drawn by lot.
-func (w *World) trouble() string {
+// injectFault injects one fault of a kind drawn by lot.
+func (w *World) injectFault() string {
 	node := w.nodes[w.rng.IntN(len(w.nodes))]
 	hold := w.rng.IntN(2) == 0
 	var someone *worker
@@ -114,7 +114,7 @@
 		},
 		func() string {
 			if someone != nil {
-				w.deafen(someone.h.ID, 2*span, hold)
+				w.blockInbound(someone.h.ID, 2*span, hold)
 			}
 			return fmt.Sprint("machine deaf, hold ", hold)
 		},
@@ -147,7 +147,7 @@
 			return "spot notice"
 		},
 	}
-	kinds = append(kinds, w.meetingTroubles(node, someone, span)...)
+	kinds = append(kinds, w.combinedFaults(node, someone, span)...)
 	return kinds[w.rng.IntN(len(kinds))]()
 }
 
@@ -167,8 +167,8 @@
 	return s
 }
 
-// TestRulesHold lets whole days with overlapping troubles pass and checks every
-// rule at every step, and that all jobs are over once the troubles are. On every
+// TestRulesHold lets whole days with overlapping faults pass and checks every
+// rule at every step, and that all jobs are over once the faults are. On every
 // second day most reports go to the leader by way of the other controllers.
 func TestRulesHold(t *testing.T) {
 	days := 24
@@ -196,18 +196,18 @@
 	var history []string
 	for w.Now.Sub(time.Unix(1_800_000_000, 0)) < 240*time.Second {
 		w.Run(w.between(time.Second, 16*time.Second))
-		what := w.clock() + " " + w.trouble()
+		what := w.clock() + " " + w.injectFault()
 		w.log.Info("trouble", "what", what)
 		history = append(history, what)
 	}
 	w.Run(90 * time.Second)
-	w.calm = w.Now
+	w.faultsOver = w.Now
 	for _, k := range w.workers {
 		k.sick = false
 	}
 	w.left()
 	w.end()
-	w.served(2 * largestWithin) // with a trouble every few seconds for four minutes
+	w.served(2 * largestWithin) // with a fault every few seconds for four minutes
 	if w.rules.started == 0 {
 		t.Error("nothing ran")
 	}
@@ -227,7 +227,7 @@
 		w.load(16, 60*time.Second)
 		for range 8 {
 			w.Run(10 * time.Second)
-			w.trouble()
+			w.injectFault()
 		}
 		w.Run(60 * time.Second)
 		return w.state.revision, w.rules.started
--- a/internal/simulation/slow.go
+++ b/internal/simulation/slow.go
@@ -11,12 +11,12 @@
 // shares are used up in bursts.
 const (
 	wakeCost    = 150 * time.Microsecond // of a step, whatever it takes
-	eventCost   = 100 * time.Microsecond // of an answer or a carried report
+	eventCost   = 100 * time.Microsecond // of an answer or a forwarded report
 	requestCost = 250 * time.Microsecond // of a worker's or user's request
 	actionCost  = 100 * time.Microsecond // of a request or answer that leaves
 )
 
-// backlog is what waits for a slow node, by rank: answers and siblings' messages,
+// backlog is what waits for a slow node, by rank: answers and peers' messages,
 // workers' reports, users.
 type backlog struct {
 	ranks [3][]coordination.Event
--- a/internal/simulation/slow_test.go
+++ b/internal/simulation/slow_test.go
@@ -13,7 +13,7 @@
 // on 1.8% of a core each and with half as many machines again as the deployment
 // of such controllers has: a crowd of jobs, a flood of questions, and the loss of
 // one controller and then of all. Every rule holds, everybody is served, and a
-// leader loses its claim to nothing but its own end.
+// leader loses its leader lease to nothing but its own end.
 func TestSlowControllers(t *testing.T) {
 	shape := weakest()
 	shape.Slow = true
@@ -49,7 +49,7 @@
 			}
 			w.Run(20 * time.Second)
 			terms = w.terms()
-			w.calm = w.Now
+			w.faultsOver = w.Now
 			w.finish(t, 700*time.Second)
 			if got := w.terms(); got != terms {
 				t.Errorf("the claim was lost after the troubles: revision %d, then %d", terms, got)
@@ -61,5 +61,5 @@
 	}
 }
 
-// terms is the revision of the claim that stands.
-func (w *World) terms() uint64 { return w.state.keys[bookkeeping.ClaimKey].Stamp }
+// terms is the revision of the leader lease that stands.
+func (w *World) terms() uint64 { return w.state.keys[bookkeeping.LeaderKey].Revision }
--- a/internal/simulation/upgrade_test.go
+++ b/internal/simulation/upgrade_test.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// TestUpgrade: the first version serves, with records that the lowered limits do
-// not allow; the controllers are replaced while troubles go on, the limits are
+// TestUpgrade: version 0.2 serves, with records that the lowered limits do
+// not allow; the controllers are replaced while faults go on, the limits are
 // lowered, and every rule holds; nothing is lost and all is served. The leader may
 // be any of both versions at any time.
 func TestUpgrade(t *testing.T) {
@@ -61,7 +61,7 @@
 			}
 			w.Run(w.between(30*time.Second, 60*time.Second))
 			if seed%3 > 0 {
-				w.every(9*time.Second, 8, func(int) { w.log.Info("trouble", "what", w.trouble()) })
+				w.every(9*time.Second, 8, func(int) { w.log.Info("trouble", "what", w.injectFault()) })
 			}
 			w.upgrade(w.between(time.Second, 20*time.Second))
 			w.Run(70 * time.Second)
@@ -69,8 +69,8 @@
 			w.Run(40 * time.Second)
 			w.replace(300 * time.Millisecond)
 			w.Run(60 * time.Second)
-			w.calm = w.Now
-			w.mendAll()
+			w.faultsOver = w.Now
+			w.healWorkers()
 			w.left()
 			w.end()
 			w.check(t)
@@ -78,16 +78,16 @@
 	}
 }
 
-// mendAll lets sick machines work again.
-func (w *World) mendAll() {
+// healWorkers lets sick machines work again.
+func (w *World) healWorkers() {
 	for _, k := range w.workers {
 		k.sick = false
 	}
 }
 
-// TestLoweredLimits: records that the first version wrote are split once all know
+// TestLoweredLimits: records that version 0.2 wrote are split once all know
 // the new form, by transactions within the lowered limits, also when these come
-// while a new leader has yet to hear from its siblings; a thousand machines' room
+// while a new leader has yet to hear from its peers; a thousand machines' room
 // records are as well, and no machine is forgotten on the way.
 func TestLoweredLimits(t *testing.T) {
 	shape := lowered(grown(), 21, 8)
@@ -125,7 +125,7 @@
 		c.crash(time.Second)
 	}
 	w.Run(10 * time.Second)
-	w.calm = w.Now
+	w.faultsOver = w.Now
 	w.finish(t, 500*time.Second)
 	again := w.gangTasksStartedAgain() - before
 	t.Logf("%d starts before the upgrade, %d tasks of gangs started again since", starts, again)
@@ -148,7 +148,7 @@
 }
 
 // TestOversizedUnderLoweredLimits: the limits are lowered before anything was
-// split, and a new leader that knows nothing of its siblings finds the records.
+// split, and a new leader that knows nothing of its peers finds the records.
 func TestOversizedUnderLoweredLimits(t *testing.T) {
 	shape := lowered(Small(), 15, 4)
 	shape.Capacity = 40
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -19,7 +19,7 @@
 type clients struct {
 	state, cloud string
 	outside      *http.Client // state service and cloud
-	claims       *http.Client // state service, renewals of the claim: they wait for no other request
+	leaderLease  *http.Client // state service, renewals of the leader lease: they wait for no other request
 	workers      *http.Client
 	calls        chan struct{} // calls to workers under way
 	answers      chan<- coordination.Event
@@ -41,9 +41,9 @@
 	}
 	return &clients{
 		state: "http://" + cfg.Endpoints.State, cloud: "http://" + cfg.Endpoints.Cloud,
-		outside: client(2*tuning.ConnsPerHost, tuning.ConnsPerHost),
-		claims:  client(1, 1),
-		workers: client(max(tuning.SocketsLeast, int(float64(cfg.Cluster.Resources.FDLimit)*tuning.WorkerConns)), 1),
+		outside:     client(2*tuning.ConnsPerHost, tuning.ConnsPerHost),
+		leaderLease: client(1, 1),
+		workers:     client(max(tuning.SocketsLeast, int(float64(cfg.Cluster.Resources.FDLimit)*tuning.WorkerConns)), 1),
 		// The node bounds its calls by the same share; this holds whatever it does.
 		calls:   make(chan struct{}, max(tuning.OrdersLeast, int(float64(cfg.Cluster.Resources.FDLimit)*tuning.WorkerSockets))),
 		answers: answers,
@@ -64,8 +64,8 @@
 	defer cancel()
 	base, client := c.state, c.outside
 	switch r.To {
-	case coordination.ToClaim:
-		client = c.claims
+	case coordination.ToLeaderLease:
+		client = c.leaderLease
 	case coordination.ToCloud:
 		base = c.cloud
 	case coordination.ToWorker:
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -36,7 +36,7 @@
 	if limit <= 0 {
 		return &connections{}
 	}
-	return &connections{most: share(tuning.ServerSockets), keepUsers: int64(share(tuning.UserSockets)), keepWorkers: int64(share(tuning.KeptSockets))}
+	return &connections{most: share(tuning.ServerSockets), keepUsers: int64(share(tuning.UserKeepSockets)), keepWorkers: int64(share(tuning.WorkerKeepSockets))}
 }
 
 // track is told of every connection's state.
--- a/internal/transport/owner.go
+++ b/internal/transport/owner.go
@@ -16,8 +16,8 @@
 )
 
 // Owner is the one owner of all state. It works through three queues of events
-// in batches: answers to what the node asked (the renewal of its claim among
-// them) and what siblings say go before workers' reports, and these before what
+// in batches: answers to what the node asked (the renewal of its leader lease among
+// them) and what peers say go before workers' reports, and these before what
 // users ask.
 type Owner struct {
 	cfg     *config.Config
