--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -15,7 +15,7 @@
 	"github.com/gappond/gappond/internal/tuning"
 )
 
-// peers keeps the links between controllers. Every node dials every sibling
+// peers keeps the links between controllers. Every node dials every peer
 // and sends on the connection that it dialled; it only reads from those that
 // it accepted.
 type peers struct {
@@ -36,17 +36,17 @@
 
 func newPeers(cfg *config.Config, log *slog.Logger, events chan<- coordination.Event) *peers {
 	p := &peers{cfg: cfg, log: log, events: events, links: map[string]*link{}, gather: gatherFor(cfg)}
-	for _, s := range cfg.Siblings {
+	for _, s := range cfg.Peers {
 		p.links[s.Name] = &link{name: s.Name, addr: s.Addr, queue: make(chan protocol.PeerMessage, max(tuning.PeerQueue, cfg.Cluster.Resources.FDLimit))}
 	}
 	return p
 }
 
 // gatherFor is how long reports are gathered for one frame write, so that what
-// all siblings send costs the leader no more than its share of processor time.
+// all peers send costs the leader no more than its share of processor time.
 func gatherFor(cfg *config.Config) time.Duration {
-	each := cfg.Cluster.Resources.Pause(tuning.GatherCost, tuning.GatherShare)
-	return min(each*time.Duration(len(cfg.Siblings)), tuning.GatherMost)
+	each := cfg.Cluster.Resources.Pause(tuning.CoalesceCost, tuning.CoalesceShare)
+	return min(each*time.Duration(len(cfg.Peers)), tuning.CoalesceMost)
 }
 
 func (p *peers) start(ctx context.Context, failed chan<- error) error {
@@ -97,7 +97,7 @@
 	}
 }
 
-// keep dials a sibling for as long as the process lives.
+// keep dials a peer for as long as the process lives.
 func (p *peers) keep(ctx context.Context, l *link) {
 	dialer := net.Dialer{Timeout: tuning.DialTimeout, KeepAlive: noKeepAlive}
 	for ctx.Err() == nil {
@@ -119,7 +119,7 @@
 }
 
 func (p *peers) write(ctx context.Context, l *link, conn net.Conn) {
-	// The sibling never writes here: a read returns when the link ends.
+	// The peer never writes here: a read returns when the link ends.
 	ended := make(chan struct{})
 	go func() {
 		var b [1]byte
@@ -172,7 +172,7 @@
 	return buf
 }
 
-// read takes a sibling's frames until one is wrong or none comes.
+// read takes a peer's frames until one is wrong or none comes.
 func (p *peers) read(conn net.Conn) {
 	defer conn.Close()
 	r := bufio.NewReaderSize(conn, tuning.PeerBatch)
