Records are split in several steps when one transaction cannot hold the parts

A record that needs more parts than a transaction has changes (limits lowered to less than a quarter) was written as it was, and refused, for ever. Its parts are now staged by transactions of their own; the job's own record, which names them, is written last. Until then the old records hold, another leader passes over the parts and uses their keys for its own split. Peers of version 0.3 delete such parts, so that nothing is staged beside one (a new level of the announcement). A record that is refused for its size is not sent again as it is; one that cannot be split is set aside and logged. After a 429 the write budgets begin from nothing.

TestSplitInSteps, TestChangedWhileSplit, TestUnwritableRecord and TestThrottled were seen failing without the change; TestNoStepsBesideEarlierVersion and TestLeftoverParts with its guards taken out.

--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -15,6 +15,7 @@
 	records []int
 	final   *bookkeeping.Final
 	copies  []*taskAttempt // placed by this transaction
+	staging bool           // the records are parts that the job's own record does not name yet
 }
 
 // batch builds a transaction within the state service's limits.
@@ -68,6 +69,9 @@
 		b.tx.jobs = append(b.tx.jobs, &jobWrite{j: j, final: f})
 		return
 	}
+	if j.unwritable {
+		return
+	}
 	w := &jobWrite{j: j}
 	if parts := b.l.splitRecords(j); parts != nil {
 		b.addParts(w, parts)
@@ -140,9 +144,13 @@
 func (b *batch) addRecordWrites(w *jobWrite, pieces ...recordWrite) bool {
 	conditions, bytes := b.conditions(pieces), 0
 	for _, p := range pieces {
+		if b.l.refusedForSize(len(p.value)) {
+			b.l.postpone(w.j, p.record)
+			return false
+		}
 		bytes += len(p.value)
 	}
-	if !b.fits(len(pieces), conditions, bytes+conditions*80) {
+	if !b.fits(len(pieces), conditions, bytes+conditions*tuning.ConditionBytes) {
 		return false
 	}
 	j := w.j
@@ -185,27 +193,60 @@
 	b.addRecordWrites(w, b.recordWrite(j, 0))
 }
 
-// addParts adds the parts of a record that is being split.
-func (b *batch) addParts(w *jobWrite, parts []int) {
-	var pieces []recordWrite
-	for _, r := range parts {
-		pieces = append(pieces, b.recordWrite(w.j, r))
+// addParts adds the records that complete a split, or as many of the new parts as
+// fit if one transaction cannot hold all of them.
+func (b *batch) addParts(w *jobWrite, records []int) {
+	j := w.j
+	alone := len(b.txn.Then) == 0
+	var writes []recordWrite
+	for _, r := range records {
+		writes = append(writes, b.recordWrite(j, r))
 	}
-	if b.addRecordWrites(w, pieces...) {
+	if b.addRecordWrites(w, writes...) {
 		return
 	}
-	for _, r := range parts {
-		w.j.dirty[r] = true
+	for _, r := range records {
+		j.dirty[r] = true
 	}
-	if len(b.txn.Then) > 0 || b.remainingChanges() < len(pieces) {
-		return
+	switch {
+	case b.fitsOneTransaction(writes):
+		if alone && b.remainingChanges() >= len(writes) {
+			b.l.dropUncommitted(j) // too many conditions: its places wait until it is split
+		}
+	case b.l.mayStage():
+		b.stage(w, records)
+	case alone:
+		b.l.dropUncommitted(j)
 	}
-	// Not even alone: its places must wait until it is split.
-	for _, c := range w.j.sortedAttempts() {
-		if !c.committed {
-			b.l.dropAttempt(c)
+}
+
+// fitsOneTransaction says whether writes of one job would fit a transaction that
+// holds nothing else.
+func (b *batch) fitsOneTransaction(writes []recordWrite) bool {
+	bytes := 0
+	for _, p := range writes {
+		bytes += len(p.value) + tuning.ConditionBytes
+	}
+	return len(writes) <= b.l.limits().TxnOps && bytes <= tuning.TxnBytes-tuning.ConditionBytes
+}
+
+// stage writes new parts that the job's own record does not name yet. Until that
+// record is written, last, what the old records say holds, and whoever reads them
+// passes over the parts. So nothing is placed meanwhile.
+func (b *batch) stage(w *jobWrite, records []int) {
+	j := w.j
+	j.splitting = true
+	b.l.dropUncommitted(j)
+	for _, r := range records {
+		if _, isPart := j.newParts[r]; !isPart {
+			continue
+		}
+		if !b.addRecordWrites(w, b.recordWrite(j, r)) {
+			break
 		}
+		delete(j.staged, r)
 	}
+	w.staging = len(w.records) > 0
 }
 
 // finalPhase is the phase in which the job has ended, or "".
--- a/internal/coordination/budgets.go
+++ b/internal/coordination/budgets.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/gappond/gappond/internal/bookkeeping"
 	"github.com/gappond/gappond/internal/tuning"
@@ -52,3 +53,16 @@
 	}
 	return false
 }
+
+// throttled takes note that the state service refused changes as too many: whatever
+// the budget says, the service has no more to give now. The budget fills again from
+// nothing. It returns the time after which that many changes may be sent again.
+func (n *Node) throttled(changes int) time.Duration {
+	for _, budget := range []*rate.Limiter{n.writes, n.userWrites, n.relayWrites} {
+		if tokens := int(budget.TokensAt(n.now)); tokens > 0 {
+			budget.AllowN(n.now, tokens)
+		}
+	}
+	pause := time.Duration(float64(changes) / float64(n.writes.Limit()) * float64(time.Second))
+	return max(tuning.RetryPause, pause)
+}
--- a/internal/coordination/commit.go
+++ b/internal/coordination/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +17,7 @@
 type commit struct {
 	writer         string
 	body           []byte
+	changes        int
 	probe          string // a key that it sets, by which a lost answer is found out
 	sent           time.Time
 	lost           bool // an answer was lost: it may have been applied
@@ -65,7 +67,7 @@
 		return
 	}
 	l.n.writes.AllowN(l.n.now, len(b.txn.Then))
-	tx.body = bookkeeping.Encode(b.txn)
+	tx.body, tx.changes = bookkeeping.Encode(b.txn), len(b.txn.Then)
 	l.inFlight = tx
 	l.send(tx)
 }
@@ -90,7 +92,7 @@
 		}
 		e := entry{j, 3}
 		switch age := l.n.now.Sub(j.dirtySince); {
-		case (j.spec.Gang() || j.spec.Service()) && j.hasUncommitted() || age > tuning.MarkLate || age > tuning.WriteWait && (j.hasUncommitted() || j.finalPhase() != ""):
+		case j.splitting || (j.spec.Gang() || j.spec.Service()) && j.hasUncommitted() || age > tuning.MarkLate || age > tuning.WriteWait && (j.hasUncommitted() || j.finalPhase() != ""):
 			e.class = 0
 			urgent++
 			ready++
@@ -133,21 +135,23 @@
 			// The transaction may have been applied, or may be yet. The same
 			// one again can be applied only once.
 			tx.lost = true
-			l.resend(tx)
+			l.resend(tx, tuning.RetryPause)
+		case status == 429:
+			l.resend(tx, l.n.throttled(tx.changes))
 		case status == 400:
 			l.n.log.Error("transaction refused", "body", string(body))
 			l.n.limitsLowered = l.n.limitsLowered || l.n.cfg.Cluster.Present != nil
 			l.conflict(tx, nil)
 			l.commitAt = l.n.now.Add(time.Second)
 		default:
-			l.resend(tx)
+			l.resend(tx, tuning.RetryPause)
 		}
 	})
 }
 
 // resend sends the same transaction again after a pause.
-func (l *leader) resend(tx *commit) {
-	l.n.after(tuning.RetryPause, func() {
+func (l *leader) resend(tx *commit, pause time.Duration) {
+	l.n.after(pause, func() {
 		if l.n.lead == l && l.inFlight == tx {
 			l.send(tx)
 		}
@@ -200,8 +204,8 @@
 		}
 		for _, r := range w.records {
 			j.revisions[r] = max(j.revisions[r], revision)
-			delete(j.newParts, r)
 		}
+		j.recordsWritten(w)
 		for _, c := range w.copies {
 			if j.attempts[c.key] != c {
 				continue
@@ -234,6 +238,11 @@
 			l.cleanup = append(l.cleanup, bookkeeping.TaskRecordKey(j.id, r))
 		}
 	}
+	for _, r := range slices.Sorted(maps.Keys(j.leftovers)) {
+		if r >= len(j.revisions) {
+			l.cleanup = append(l.cleanup, bookkeeping.TaskRecordKey(j.id, r))
+		}
+	}
 	l.plan = true
 }
 
--- a/internal/coordination/fences_test.go
+++ b/internal/coordination/fences_test.go
@@ -249,7 +249,7 @@
 	}
 }
 
-// TestStrayRoomRecord: the creation of a machine record is carried out late, after
+// TestStrayMachineRecord: the creation of a machine record is carried out late, after
 // the record was deleted: the machines that it names must not come back with it.
 func TestStrayMachineRecord(t *testing.T) {
 	l := testLeader(time.Unix(1_800_000_000, 0))
--- a/internal/coordination/placement_test.go
+++ b/internal/coordination/placement_test.go
@@ -212,7 +212,7 @@
 	}
 }
 
-// TestOneZoneWithOldCopies: while old attempts of a one-zone job may still be in
+// TestOneZoneWithOldAttempts: while old attempts of a one-zone job may still be in
 // two zones, nothing of it starts anywhere.
 func TestOneZoneWithOldAttempts(t *testing.T) {
 	l := testLeader(time.Unix(1_800_000_000, 0))
--- a/internal/coordination/preemption_test.go
+++ b/internal/coordination/preemption_test.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// TestBar: a gang that has waited past the time-out keeps the free machines of
+// TestReserveMachines: a gang that has waited past the time-out keeps the free machines of
 // the zone where it lacks least from smaller jobs behind it.
 func TestReserveMachines(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
--- a/internal/coordination/reachability_test.go
+++ b/internal/coordination/reachability_test.go
@@ -10,7 +10,7 @@
 	"github.com/gappond/gappond/internal/tuning"
 )
 
-// TestDeaf: a worker whose reports go on coming, but never show what the
+// TestNotReceiving: a worker whose reports go on coming, but never show what the
 // answers told it, takes no new work; one that does not answer calls either is
 // returned, which proves its tasks gone. One that answers a call is kept.
 func TestNotReceiving(t *testing.T) {
@@ -115,7 +115,7 @@
 	}
 }
 
-// TestMuteWorker: a worker that answers calls while no report of it comes loses
+// TestNotReporting: a worker that answers calls while no report of it comes loses
 // its tasks with its lease, so it gets none; it is asked for none of its room.
 func TestNotReporting(t *testing.T) {
 	l := testLeader(time.Unix(1_800_000_000, 0))
--- a/internal/coordination/record_split.go
+++ b/internal/coordination/record_split.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/gappond/gappond/internal/bookkeeping"
@@ -63,7 +64,7 @@
 func (j *job) split(r int) (part int) {
 	list := slices.Clone(j.tasksOf(r))
 	part = len(j.revisions)
-	j.revisions = append(j.revisions, 0)
+	j.revisions = append(j.revisions, j.leftovers[part])
 	j.extraParts = append(j.extraParts, nil)
 	for _, i := range list[(len(list)+1)/2:] {
 		j.move(i, part)
@@ -75,11 +76,25 @@
 	return part
 }
 
-// maySplit says whether records may be written that version 0.2 does not
-// read whole, because all controllers know them, or because the state service has
-// lowered its limits, which it does only then. Until then its present limits hold.
-func (l *leader) maySplit() bool {
-	return l.n.limitsLowered || l.n.allKnow(protocol.PeerKnowsCancelled)
+// maySplit says whether records may be written that version 0.2 does not read whole:
+// it takes the parts for leftovers and deletes them.
+func (l *leader) maySplit() bool { return l.peersKnow(protocol.PeerKnowsCancelled) }
+
+// mayStage says whether the parts of a record may be written over several
+// transactions. An earlier version that takes over deletes parts that the job's own
+// record does not name, perhaps after it has split the record itself.
+func (l *leader) mayStage() bool { return l.peersKnow(protocol.PeerKnowsStaged) }
+
+// peersKnow says whether every peer has announced a level. Once the limits are known
+// to be lowered, which happens after the upgrade, a peer that is down does not count:
+// a job must not wait for its return.
+func (l *leader) peersKnow(level uint64) bool {
+	for _, p := range l.n.peers {
+		if p.level < level && (p.up || !l.n.limitsLowered) {
+			return false
+		}
+	}
+	return true
 }
 
 // limits are those that a record must keep within now.
@@ -113,44 +128,57 @@
 	return len(bookkeeping.Encode(tasks))+tuning.HeaderBytes > room
 }
 
-// splitRecords lists the records of a job that must be written together because one
-// of them is being split, the job's own last; nil if none is.
-func (l *leader) splitRecords(j *job) []int {
-	limits := l.limits()
-	if len(j.newParts) == 0 && l.maySplit() {
-		var dirty []int
-		for r := range j.dirty {
-			dirty = append(dirty, r)
-		}
-		slices.Sort(dirty)
-		for _, r := range dirty {
-			if l.outgrown(j, r, limits) {
-				l.splitUp(j, r, limits)
-				break
-			}
+// splitDirty starts the split of one of a job's changed records that has outgrown
+// the limits.
+func (l *leader) splitDirty(j *job, limits config.State) {
+	if len(j.newParts) > 0 || !l.maySplit() {
+		return
+	}
+	for _, r := range slices.Sorted(maps.Keys(j.dirty)) {
+		if l.outgrown(j, r, limits) {
+			l.splitUp(j, r, limits)
+			return
 		}
 	}
+}
+
+// splitRecords lists the records that must be written in the transaction that
+// completes a split, the job's own last; nil if no record is being split. Parts that
+// are staged need not be written again.
+func (l *leader) splitRecords(j *job) []int {
+	limits := l.limits()
+	l.splitDirty(j, limits)
 	if len(j.newParts) == 0 {
 		return nil
 	}
 	// The job's own record, which is always written, may have outgrown them too.
-	if _, splits := j.newParts[0]; !splits && l.outgrown(j, 0, limits) {
+	if l.outgrown(j, 0, limits) {
 		l.splitUp(j, 0, limits)
 	}
 	var list []int
 	for part, source := range j.newParts {
-		list = append(list, part, source)
+		if !j.staged[part] || j.dirty[part] {
+			list = append(list, part)
+		}
+		if _, isNew := j.newParts[source]; !isNew {
+			list = append(list, source)
+		}
 	}
 	slices.Sort(list)
 	list = slices.Compact(list)
 	return append(slices.DeleteFunc(list, func(r int) bool { return r == 0 }), 0)
 }
 
-// splitUp splits a record until every part keeps within the limits, as far as one
-// transaction can write them. Of a gang's parts the rest may be split in the next.
+// splitUp splits a record until every part keeps within the limits. Unless parts may
+// be staged it stops at what one transaction can write; of a gang's parts the rest
+// may then be split in the next.
 func (l *leader) splitUp(j *job, r int, limits config.State) {
+	most := limits.TxnOps - 2
+	if l.mayStage() {
+		most = len(j.tasks)
+	}
 	open := []int{r}
-	for len(open) > 0 && len(j.newParts) < limits.TxnOps-2 {
+	for len(open) > 0 && len(j.newParts) < most {
 		r := open[0]
 		open = open[1:]
 		if l.outgrown(j, r, limits) {
@@ -192,3 +220,46 @@
 		}
 	}
 }
+
+// recordsWritten notes that a job's records are committed. The job's own record
+// names all parts, so that a write of it completes a split.
+func (j *job) recordsWritten(w *jobWrite) {
+	if !w.staging {
+		j.newParts, j.staged, j.splitting = nil, nil, false
+		return
+	}
+	if j.staged == nil {
+		j.staged = map[int]bool{}
+	}
+	for _, r := range w.records {
+		j.staged[r] = true // until it changes again
+	}
+}
+
+// dropUncommitted gives up the places of a job that are not written yet; they are
+// planned again.
+func (l *leader) dropUncommitted(j *job) {
+	for _, c := range j.sortedAttempts() {
+		if !c.committed {
+			l.dropAttempt(c)
+		}
+	}
+}
+
+// refusedForSize says whether the state service would refuse a value, now that it
+// has lowered its limits.
+func (l *leader) refusedForSize(size int) bool {
+	return l.n.limitsLowered && float64(size) > l.n.cfg.Cluster.State.ValueKB*1024
+}
+
+// postpone gives up the places of a job whose record the state service would refuse:
+// it waits until it may be split. One that cannot be split further, because of its
+// description, is never written again. What is stored stays readable, and the job can
+// still end.
+func (l *leader) postpone(j *job, record int) {
+	l.dropUncommitted(j)
+	if len(j.tasksOf(record)) < 2 && !j.unwritable {
+		j.unwritable = true
+		l.n.log.Error("record cannot be brought under the limits of the state service", "job", j.id, "record", record)
+	}
+}
--- a/internal/coordination/record_split_test.go
+++ b/internal/coordination/record_split_test.go
@@ -109,21 +109,33 @@
 }
 
 // TestRefusedForSize: a state service that refuses a value has lowered its limits,
-// which it does only once all controllers have the new version: whatever the leader
-// has heard of its peers, the record is split and not sent again as it was.
+// which it does only once all controllers have the new version: the record is split
+// and not sent again as it was, whatever the leader has heard of a peer that is down.
+// While one is up that may be of version 0.2, which would delete the parts, the record
+// waits, and is not sent again either.
 func TestRefusedForSize(t *testing.T) {
-	l, j := lowering(t)
-	l.touch(j, 0)
-	l.commitLater(tuning.MarkLate + time.Second)
-	_, r := l.sentTxn(t)
-	l.n.handle(Response{ID: r.ID, Status: 400, Body: []byte(`{"error":"too large"}`)})
-	l.commitLater(tuning.MarkLate + time.Second)
-	if txn, _ := l.sentTxn(t); len(txn.Then) < 2 {
-		t.Errorf("%d changes, the first of %d bytes", len(txn.Then), len(txn.Then[0].Value))
+	for _, up := range []bool{false, true} {
+		l, j := lowering(t)
+		l.n.peers["s"].up = up
+		l.touch(j, 0)
+		l.commitLater(tuning.MarkLate + time.Second)
+		_, r := l.sentTxn(t)
+		l.n.handle(Response{ID: r.ID, Status: 400, Body: []byte(`{"error":"too large"}`)})
+		l.commitLater(tuning.MarkLate + time.Second)
+		if up {
+			if l.inFlight != nil {
+				t.Error("sent again beside a peer that may be of version 0.2")
+			}
+			l.n.handle(PeerReceive{Peer: "s", Link: 1, Message: protocol.Announcement("n")})
+			l.commitLater(tuning.MarkLate + time.Second)
+		}
+		if txn, _ := l.sentTxn(t); len(txn.Then) < 2 {
+			t.Errorf("up %v: %d changes, the first of %d bytes", up, len(txn.Then), len(txn.Then[0].Value))
+		}
 	}
 }
 
-// TestSplitRacks: machines move out of a machine record that has outgrown the limits
+// TestSplitMachineRecords: machines move out of a machine record that has outgrown the limits
 // into others, which are written first: none may be in no record for a moment.
 func TestSplitMachineRecords(t *testing.T) {
 	l, _ := lowering(t)
--- /dev/null
+++ b/internal/coordination/record_stage_test.go
@@ -0,0 +1,362 @@
+package coordination
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/bookkeeping"
+	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// storedRecords is what a state service holds, for leaders that begin from it.
+type storedRecords struct {
+	entries  map[string]protocol.Entry
+	revision uint64
+}
+
+// apply carries a transaction out if its conditions hold.
+func (s *storedRecords) apply(txn protocol.Txn) bool {
+	for _, c := range txn.If {
+		if c.Key != bookkeeping.LeaderKey && s.entries[c.Key].Revision != c.Revision {
+			return false
+		}
+	}
+	s.revision++
+	for _, c := range txn.Then {
+		if c.Delete != "" {
+			delete(s.entries, c.Delete)
+			continue
+		}
+		s.entries[c.Set] = protocol.Entry{Key: c.Set, Value: c.Value, Revision: s.revision}
+	}
+	return true
+}
+
+// leader begins to lead from the stored records, in a deployment whose limits will
+// be, or are, lowered to a sixteenth.
+func (s *storedRecords) leader(level uint64) *leader {
+	n := testLeader(time.Unix(1_800_000_000, 0)).n
+	present := n.cfg.Cluster.State
+	n.cfg.Cluster.Present = &present
+	n.cfg.Cluster.State = config.State{RPS: 80, WriteRPS: 15, ValueKB: 2, TxnOps: 4}
+	n.setBudgets()
+	n.peers["s"] = &peer{up: true, link: 1, level: level}
+	page := protocol.Entries{Revision: s.revision}
+	for _, e := range s.entries {
+		page.Items = append(page.Items, e)
+	}
+	n.mirror.BeginLoad()
+	n.mirror.LoadPage(&page)
+	n.takeOver()
+	return n.lead
+}
+
+// hostName is the name of the machine that has all tasks; a long one, so that a record
+// of 98 tasks needs many parts.
+var hostName = "i-" + strings.Repeat("0", 80) + "231"
+
+// wideJob is a job whose description leaves room for few tasks in its first record.
+func wideJob(shape string) *bookkeeping.Job {
+	s := &protocol.Job{ID: "run-000077", Class: "c", Team: "free", Shape: shape, Priority: "normal", Tasks: 98, CPUs: 0.1, MemoryGB: 0.1,
+		Image: "img", ImageGB: 1, Types: []string{"big", strings.Repeat("x", 1450)}}
+	rec := &bookkeeping.Job{Writer: "w-1", Spec: s, AtMs: 1_800_000_000_000, Seq: 5, Attempt: 2, RecordTasks: 98}
+	for i := range s.Tasks {
+		task := bookkeeping.Task{Index: i, Attempt: 2, Machine: hostName, Session: 1}
+		if shape == protocol.ShapeArray && i%5 == 0 {
+			task = bookkeeping.Task{Index: i, Attempt: 1, Done: true}
+		}
+		rec.Tasks = append(rec.Tasks, task)
+	}
+	return rec
+}
+
+func stored(rec *bookkeeping.Job) *storedRecords {
+	s := &storedRecords{entries: map[string]protocol.Entry{}, revision: 9}
+	s.entries[bookkeeping.JobKey(rec.Spec.ID)] = protocol.Entry{Key: bookkeeping.JobKey(rec.Spec.ID), Value: bookkeeping.Encode(rec), Revision: 9}
+	machines := bookkeeping.MachineRecord{Writer: "w-2", Machines: []bookkeeping.MachineEntry{{ID: hostName, Address: "h:1", Type: "big", Zone: "a"}}}
+	s.entries["g/m/one"] = protocol.Entry{Key: "g/m/one", Value: bookkeeping.Encode(machines), Revision: 8}
+	return s
+}
+
+// sameTasks compares the tasks that a leader has read with those of a record.
+func sameTasks(t *testing.T, l *leader, rec *bookkeeping.Job) {
+	t.Helper()
+	j := l.jobs[rec.Spec.ID]
+	if j == nil {
+		t.Fatal("the job is unknown")
+	}
+	for _, want := range rec.Tasks {
+		got := &j.tasks[want.Index]
+		if got.lastAttempt != want.Attempt || got.done != want.Done || (got.active != nil) != (want.Machine != "") {
+			t.Fatalf("task %d: %+v, want %+v", want.Index, got, want)
+		}
+	}
+}
+
+// nextTxn lets a leader commit and returns what is under way then, nil if that is
+// nothing.
+func (l *leader) nextTxn(t *testing.T) (*protocol.Txn, Request) {
+	t.Helper()
+	if l.inFlight == nil {
+		l.splitOutgrown()
+		l.commitLater(tuning.MarkLate + time.Second)
+	}
+	if l.inFlight == nil {
+		return nil, Request{}
+	}
+	for _, a := range slices.Backward(l.n.out) {
+		r, ok := a.(Request)
+		if !ok || !bytes.Equal(r.Body, l.inFlight.body) {
+			continue
+		}
+		var txn protocol.Txn
+		if err := json.Unmarshal(r.Body, &txn); err != nil {
+			t.Fatal(err)
+		}
+		return &txn, r
+	}
+	t.Fatal("what is under way was not sent")
+	return nil, Request{}
+}
+
+// TestSplitInSteps: a record that needs more parts than one transaction has changes
+// is split over several. After each of them another leader, which begins from what is
+// stored then, reads the same tasks and completes the split; every value and
+// transaction keeps within the lowered limits. (A leader without the steps wrote the
+// record as it was, again and again, and was refused.)
+func TestSplitInSteps(t *testing.T) {
+	for _, shape := range []string{protocol.ShapeArray, protocol.ShapeGang} {
+		for crashAfter := range 6 {
+			rec := wideJob(shape)
+			s := stored(rec)
+			l := s.leader(protocol.PeerLevel)
+			steps := 0
+			for range 40 {
+				if steps == crashAfter {
+					l = s.leader(protocol.PeerLevel)
+					sameTasks(t, l, rec)
+				}
+				txn, r := l.nextTxn(t)
+				if txn == nil {
+					break
+				}
+				steps++
+				if len(txn.Then) > 4 || len(txn.If) > 16 {
+					t.Fatalf("%d changes, %d conditions", len(txn.Then), len(txn.If))
+				}
+				for _, c := range txn.Then {
+					if len(c.Value) > 2048 {
+						t.Fatalf("%s: %d bytes under %s", shape, len(c.Value), c.Set)
+					}
+				}
+				if s.apply(*txn) {
+					l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision})})
+				} else {
+					t.Fatalf("%s: refused", shape)
+				}
+				sameTasks(t, s.leader(protocol.PeerLevel), rec)
+			}
+			if steps < 2 {
+				t.Errorf("%s: %d steps", shape, steps)
+			}
+			for key, e := range s.entries {
+				if len(e.Value) > 2048 {
+					t.Errorf("%s: %s still has %d bytes", shape, key, len(e.Value))
+				}
+			}
+			head, err := bookkeeping.DecodeJob(s.entries[bookkeeping.JobKey(rec.Spec.ID)].Value)
+			if err != nil || head.Parts < 5 {
+				t.Errorf("%s: %v, %d parts", shape, err, head.Parts)
+			}
+		}
+	}
+}
+
+// TestChangedWhileSplit: a task that ends while its part is being staged, or after
+// that, is written anew before the job's own record names the part, and nothing is
+// placed meanwhile.
+func TestChangedWhileSplit(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		rec := wideJob(protocol.ShapeArray)
+		s := stored(rec)
+		l := s.leader(protocol.PeerLevel)
+		j := l.jobs[rec.Spec.ID]
+		answer := func() {
+			txn, r := l.nextTxn(t)
+			if !s.apply(*txn) {
+				t.Fatal("refused")
+			}
+			l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision})})
+		}
+		if txn, _ := l.nextTxn(t); txn == nil || len(j.newParts) < 8 {
+			t.Fatalf("%d parts", len(j.newParts))
+		}
+		first := j.tasksOf(1) // the first part is in the first step
+		if late {
+			answer()
+			if !j.staged[1] || !j.splitting {
+				t.Fatal("not staged")
+			}
+		}
+		ended, lost := first[len(first)-1], first[len(first)-2]
+		c, d := j.tasks[ended].active, j.tasks[lost].active
+		if c == nil || d == nil {
+			t.Fatal("the tasks do not run")
+		}
+		l.setDone(j, ended)
+		l.dropAttempt(c)
+		l.dropAttempt(d)
+		if l.wants(j) != 0 {
+			t.Error("tasks are wanted while the record is split")
+		}
+		rec.Tasks[ended] = bookkeeping.Task{Index: ended, Attempt: 2, Done: true}
+		for range 10 {
+			if !j.splitting {
+				break
+			}
+			answer()
+		}
+		// No later: what the parts say holds from the moment at which they are named.
+		if j.splitting {
+			t.Fatal("never split")
+		}
+		next := s.leader(protocol.PeerLevel)
+		if !next.jobs[rec.Spec.ID].tasks[ended].done {
+			t.Errorf("late %v: the end is lost", late)
+		}
+		if l.wants(j) == 0 {
+			t.Error("the lost task is not wanted")
+		}
+	}
+}
+
+// TestNoStepsBesideEarlierVersion: version 0.3 deletes parts that a job's own record
+// does not name. While a peer may be of that version nothing is staged.
+func TestNoStepsBesideEarlierVersion(t *testing.T) {
+	rec := wideJob(protocol.ShapeArray)
+	s := stored(rec)
+	l := s.leader(protocol.PeerKnowsCancelled)
+	l.n.limitsLowered = true
+	for range 5 {
+		txn, r := l.nextTxn(t)
+		if txn == nil {
+			break
+		}
+		for _, c := range txn.Then {
+			if _, num, ok := bookkeeping.ParseTaskRecordKey(c.Set); ok && !strings.Contains(string(r.Body), bookkeeping.JobKey(rec.Spec.ID)+`","data"`) {
+				t.Errorf("part %d is staged", num)
+			}
+		}
+		s.apply(*txn)
+		l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision})})
+	}
+	sameTasks(t, s.leader(protocol.PeerLevel), rec)
+}
+
+// TestLeftoverParts: parts that a predecessor staged and never named are no state of
+// the job: they are used by the next split and deleted with the job, not before, for
+// a deletion may be carried out late.
+func TestLeftoverParts(t *testing.T) {
+	rec := wideJob(protocol.ShapeArray)
+	s := stored(rec)
+	key := bookkeeping.TaskRecordKey(rec.Spec.ID, 1)
+	s.entries[key] = protocol.Entry{Key: key, Value: bookkeeping.Encode(bookkeeping.TaskRecord{Writer: "w-3", Tasks: bookkeeping.Tasks{{Index: 40, Attempt: 1}}}), Revision: 7}
+	l := s.leader(protocol.PeerLevel)
+	sameTasks(t, l, rec)
+	for range 40 {
+		txn, r := l.nextTxn(t)
+		if txn == nil {
+			break
+		}
+		for _, c := range txn.Then {
+			if c.Delete == key {
+				t.Error("deleted while the job is there")
+			}
+		}
+		if !s.apply(*txn) {
+			t.Fatal("refused: the leftover's revision was not taken")
+		}
+		l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision})})
+	}
+	sameTasks(t, s.leader(protocol.PeerLevel), rec)
+	l.finish(l.jobs[rec.Spec.ID], bookkeeping.Final{Phase: protocol.PhaseDone})
+	var txn protocol.Txn
+	for range 5 {
+		next, r := l.nextTxn(t)
+		if next == nil {
+			break
+		}
+		txn.Then = append(txn.Then, next.Then...)
+		l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision + 1})})
+	}
+	deleted := false
+	for _, c := range txn.Then {
+		deleted = deleted || c.Delete == key
+	}
+	if !deleted {
+		t.Error("left behind")
+	}
+}
+
+// TestUnwritableRecord: a record whose description alone is beyond the lowered limits
+// is refused once and not sent again; it stays readable, and others are written.
+func TestUnwritableRecord(t *testing.T) {
+	rec := wideJob(protocol.ShapeArray)
+	rec.Spec.Types[1] = strings.Repeat("x", 2100)
+	s := stored(rec)
+	l := s.leader(protocol.PeerLevel)
+	l.n.limitsLowered = true
+	for range 3 {
+		txn, r := l.nextTxn(t)
+		if txn == nil {
+			break
+		}
+		for _, c := range txn.Then {
+			if len(c.Value) > 2048 {
+				t.Errorf("%d bytes under %s", len(c.Value), c.Set)
+			}
+		}
+		l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision + 1})})
+	}
+	if j := l.jobs[rec.Spec.ID]; !j.unwritable || l.wants(j) != 0 {
+		t.Errorf("unwritable %v, wants %d", j.unwritable, l.wants(j))
+	}
+	sameTasks(t, s.leader(protocol.PeerLevel), rec)
+}
+
+// TestThrottled: after a 429 the budget begins from nothing, whatever it had, and the
+// same transaction is sent again when its changes may be.
+func TestThrottled(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	l.n.writes.SetLimit(1)
+	m := l.testMachine(hostName, "big", "a", false)
+	l.writeForTest(m)
+	_, r := l.sentTxn(t)
+	l.n.handle(Response{ID: r.ID, Status: 429})
+	if tokens := l.n.writes.TokensAt(l.n.now); tokens >= 1 {
+		t.Errorf("%v writes are left", tokens)
+	}
+	l.n.out = nil
+	l.n.now = l.n.now.Add(tuning.RetryPause)
+	l.n.tickTimers()
+	if len(l.n.out) > 0 {
+		t.Error("sent again at once")
+	}
+	l.n.now = l.n.now.Add(time.Second)
+	l.n.tickTimers()
+	if again := l.n.lastRequest(t, ToState); string(again.Body) != string(r.Body) {
+		t.Error("another transaction is sent")
+	}
+}
+
+// writeForTest has a machine's record written.
+func (l *leader) writeForTest(m *machine) {
+	l.queueMachineRecord(m)
+	l.commitLater(time.Second)
+}
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -41,10 +41,17 @@
 	n.mirror.Each(bookkeeping.TaskPrefix, func(e protocol.Entry) {
 		id, num, ok := bookkeeping.ParseTaskRecordKey(e.Key)
 		j := l.jobs[id]
-		if !ok || j == nil || num >= len(j.revisions) {
+		if !ok || j == nil {
 			l.cleanup = append(l.cleanup, e.Key) // left by a finished job
 			return
 		}
+		if num >= len(j.revisions) {
+			// Staged by a predecessor that did not complete the split. The key is
+			// used by the next split, or deleted with the job: a deletion now might
+			// be carried out late, after that split.
+			j.leftovers[num] = e.Revision
+			return
+		}
 		var c bookkeeping.TaskRecord
 		if json.Unmarshal(e.Value, &c) != nil {
 			n.log.Error("task record does not parse", "key", e.Key)
@@ -78,7 +85,7 @@
 		epoch: rec.Attempt, cancelled: rec.Cancelled, chunk: rec.RecordTasks,
 		tasks:     make([]task, s.Tasks),
 		revisions: make([]uint64, max(rec.BaseRecords(), rec.Parts)),
-		attempts:  map[attemptKey]*taskAttempt{}, dirty: map[int]bool{},
+		attempts:  map[attemptKey]*taskAttempt{}, dirty: map[int]bool{}, leftovers: map[int]uint64{},
 		failures: map[string]bool{}, avoid: map[string]time.Time{},
 		waitingSince: l.n.now,
 	}
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -88,11 +88,14 @@
 // Levels of what a node knows. A node announces its own in a form that the first
 // version, which knows none, takes for an answer to nothing and drops.
 const (
-	// PeerKnowsCancelled: PeerCancelled, PeerAsk and PeerVouch, and job records of
-	// more parts than their chunk says.
+	// PeerKnowsCancelled: PeerCancelled, PeerConfirmRequest and PeerConfirm, and job
+	// records with more parts than their number of tasks per record implies.
 	PeerKnowsCancelled = 1
-	// PeerLevel is this version's.
-	PeerLevel = PeerKnowsCancelled
+	// PeerKnowsStaged: parts of a job that are written before the job's own record
+	// names them. An earlier version deletes such records when it takes over.
+	PeerKnowsStaged = 2
+	// PeerLevel is the level of this version.
+	PeerLevel = PeerKnowsStaged
 )
 
 // announcementID is no request's: those count from a 40-bit number.
--- a/internal/simulation/confirmed_cancels_test.go
+++ b/internal/simulation/confirmed_cancels_test.go
@@ -9,7 +9,7 @@
 	"github.com/gappond/gappond/internal/coordination"
 )
 
-// TestGap: the leader's watches hang while its renewals pass, others confirm
+// TestUnseenCancellationThenOutage: the leader's watches hang while its renewals pass, others confirm
 // cancellations, and the state service is then away for longer than cancel_s. The
 // leader's workers must be without those tasks in time all the same: its authority
 // counts from when it last knew all cancellations, not from its renewal.
@@ -42,7 +42,7 @@
 	}
 }
 
-// TestToldOfCancellation: a leader that the state service refuses stops a job's
+// TestLeaderToldOfCancellation: a leader that the state service refuses stops a job's
 // tasks as soon as a peer that has confirmed the cancellation tells it.
 func TestLeaderToldOfCancellation(t *testing.T) {
 	w := New(610, logs())
@@ -97,7 +97,7 @@
 	}
 }
 
-// TestVouchedByAnotherLife: a peer confirms a cancellation that the leader does
+// TestConfirmationOfRestartedPeer: a peer confirms a cancellation that the leader does
 // not hear of, ends, and is back in an outage that all share. It can't confirm for its
 // earlier life: the leader gives up within its authority, and the cancelled tasks
 // are gone in time.
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"regexp"
 	"time"
 
 	"github.com/gappond/gappond/internal/coordination"
-	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
 )
 
@@ -140,7 +138,7 @@
 			for _, o := range c.w.nodes {
 				if o.name == a.Peer && c.peers[o.name] {
 					to := o.life
-					m := recode(a.Message)
+					m := recode(announced(a.Message, c.w.release[c.name], c.w.release[o.name]))
 					c.w.carry(c.name, o.name, func() {
 						if o.alive && o.life == to {
 							o.step(coordination.PeerReceive{Peer: c.name, Link: uint64(life), Message: m})
@@ -160,7 +158,7 @@
 
 func (c *controller) request(a coordination.Request, done func(status int, body []byte)) {
 	to, handle := "state", func(answer func(int, []byte)) {
-		if c.w.old[c.name] {
+		if c.w.release[c.name] == release02 {
 			whole := answer
 			answer = func(status int, body []byte) { whole(status, withoutNewFields(body)) }
 		}
@@ -186,28 +184,3 @@
 	}
 	c.w.call(c.name, to, a.Timeout, handle, done)
 }
-
-// maySend says whether a node sends a message: version 0.2 knows nothing of
-// what was added, and cuts a link on which it comes.
-func (c *controller) maySend(a coordination.PeerSend) bool {
-	_, announces := protocol.Announced(a.Message)
-	_, added := a.Message.(protocol.PeerCancelled)
-	if added && c.w.old[a.Peer] {
-		c.w.rules.violated("compatibility", "%s sends %T to %s", c.name, a.Message, a.Peer)
-	}
-	return !c.w.old[c.name] || !announces && !added
-}
-
-// withoutNewFields takes out of records what version 0.2 drops when it reads them.
-func withoutNewFields(body []byte) []byte { return newFields.ReplaceAll(body, nil) }
-
-var newFields = regexp.MustCompile(`"parts":\d+,`)
-
-// recode passes a message through the peers' wire format.
-func recode(m protocol.PeerMessage) protocol.PeerMessage {
-	out, err := protocol.ReadPeer(newReader(protocol.AppendPeer(nil, m)))
-	if err != nil {
-		panic(err)
-	}
-	return out
-}
--- a/internal/simulation/faults_test.go
+++ b/internal/simulation/faults_test.go
@@ -30,10 +30,10 @@
 	}
 }
 
-// TestDeafMachine: a machine whose reports arrive, but which no answer and no
+// TestMachineNotReceiving: a machine whose reports arrive, but which no answer and no
 // order reaches, keeps neither a gang nor a cancellation waiting. Its lease
 // runs out again and again; it is noticed, takes no work and is returned.
-func TestDeafMachine(t *testing.T) {
+func TestMachineNotReceiving(t *testing.T) {
 	for _, busy := range []bool{true, false} {
 		for _, hold := range []bool{true, false} {
 			shape := Small()
@@ -64,9 +64,9 @@
 	}
 }
 
-// TestDeafMachineIsNotUsed: work on a not receiving machine is given back by its own
+// TestMachineNotReceivingIsNotUsed: work on a not receiving machine is given back by its own
 // newer session or its deletion, and a job that waits is started elsewhere.
-func TestDeafMachineIsNotUsed(t *testing.T) {
+func TestMachineNotReceivingIsNotUsed(t *testing.T) {
 	w := New(22, logs())
 	w.Run(6 * time.Second)
 	s := gangJob("run-000001", 4)
--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -16,6 +16,7 @@
 	failures []string
 	started  int
 	late     int // starts after a confirmed cancellation
+	staged   int // parts of records written before they were named
 }
 
 // simJob is a job as the outside world knows it.
--- a/internal/simulation/state_service.go
+++ b/internal/simulation/state_service.go
@@ -284,6 +284,7 @@
 		s.keys[c.Set] = protocol.Entry{Key: c.Set, Value: c.Value, Revision: s.revision, Lease: c.Lease}
 		s.changes = append(s.changes, change{c.Set, protocol.WatchEvent{Set: c.Set, Value: c.Value, Revision: s.revision}})
 	}
+	s.w.rules.checkStaged(t.Then)
 	answer(200, encode(protocol.TxnAnswer{Revision: s.revision}))
 	s.notify()
 }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -98,9 +98,9 @@
 	copies     time.Duration // for so long copies of reports may be late, 0: there are none
 	keep       bool          // copies of reports are kept for the next leader
 	kept       [][]byte
-	old        map[string]bool // controllers that behave as version 0.2 does
-	close      bool            // users look closely: they ask every node after every answer
-	atEnd      float64         // this share of the jobs is called off at the moment of their end
+	release    map[string]release // of every controller
+	close      bool               // users look closely: they ask every node after every answer
+	atEnd      float64            // this share of the jobs is called off at the moment of their end
 }
 
 // New makes a small world of three controllers.
@@ -114,7 +114,7 @@
 		rng:     rand.New(rand.NewPCG(seed, 7)),
 		zoneOf:  map[string]string{},
 		workers: map[string]*worker{},
-		old:     map[string]bool{},
+		release: map[string]release{},
 	}
 	if logs != nil {
 		w.log = slog.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
@@ -153,7 +153,7 @@
 	}
 	c.Cluster = config.Cluster{Nodes: 3, Zones: w.shape.Zones, Teams: w.shape.Teams, Workers: w.shape.Workers,
 		State: w.shape.State, Cloud: w.shape.Cloud, Resources: w.shape.Resources}
-	if next := w.shape.Lowered; next != nil && !w.old[name] {
+	if next := w.shape.Lowered; next != nil && w.release[name] != release02 {
 		present := w.shape.State
 		c.Cluster.Present = &present
 		c.Cluster.State = *next
--- a/internal/tuning/state_service.go
+++ b/internal/tuning/state_service.go
@@ -69,6 +69,9 @@
 	StaleWait = 10 * time.Second
 	// TxnBytes is the largest body of a transaction, below the 64 KiB limit.
 	TxnBytes = 60 << 10
+	// ConditionBytes is a generous size of one condition of a transaction, its key
+	// included.
+	ConditionBytes = 80
 	// TaskBytes is a generous size of one task's entry in a record, by which
 	// the number of tasks in a record follows from the value limit.
 	TaskBytes = 40
