--- a/cmd/gappond/main.go
+++ b/cmd/gappond/main.go
@@ -80,6 +80,7 @@
 	if _, err := crand.Read(boot[:]); err != nil {
 		return err
 	}
+	warnOfObjectives(log, cfg)
 	node := coordination.New(cfg, log, binary.LittleEndian.Uint64(boot[8:]), hex.EncodeToString(boot[:8]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -87,6 +88,13 @@
 	return transport.NewOwner(cfg, log, node).Run(ctx)
 }
 
+// warnOfObjectives names the objectives that have no effect.
+func warnOfObjectives(log *slog.Logger, cfg *config.Config) {
+	if kinds := cfg.Cluster.UnknownObjectives(); len(kinds) > 0 {
+		log.Warn("objectives of unknown kinds are ignored", "kinds", kinds)
+	}
+}
+
 // logger writes to standard error, to the extent that the level gives.
 func logger(level string) (*slog.Logger, error) {
 	l := slog.LevelInfo
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -42,13 +43,32 @@
 	Times   float64 `toml:"times"` // of a job's own deadline
 }
 
-// Kinds of objectives that a job's turn depends on.
+// Kinds of objectives. A job's turn depends on all but the guarantee, which the
+// teams' settings express.
 const (
-	ObjectiveWait     = "wait"
-	ObjectiveFinished = "finished"
-	ObjectiveDeadline = "deadline"
+	ObjectiveWait      = "wait"
+	ObjectiveFinished  = "finished"
+	ObjectiveDeadline  = "deadline"
+	ObjectiveGuarantee = "guarantee"
+	// ObjectiveUp asks for a share of the time of a service's replicas, from a while
+	// after its submission on.
+	ObjectiveUp = "up"
 )
 
+var objectiveKinds = []string{ObjectiveWait, ObjectiveFinished, ObjectiveDeadline, ObjectiveGuarantee, ObjectiveUp}
+
+// UnknownObjectives lists the kinds of objectives that this version does not know and
+// ignores, each once.
+func (c *Cluster) UnknownObjectives() []string {
+	var kinds []string
+	for _, o := range c.Objectives {
+		if !slices.Contains(objectiveKinds, o.Kind) && !slices.Contains(kinds, o.Kind) {
+			kinds = append(kinds, o.Kind)
+		}
+	}
+	return kinds
+}
+
 // Workers are the timings that all workers share.
 type Workers struct {
 	ReportS   float64 `toml:"report_s"`
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -143,3 +143,19 @@
 		}
 	}
 }
+
+// TestUnknownObjectives: objectives of kinds that nobody knows are valid and named
+// once; those of the operators' pages are known.
+func TestUnknownObjectives(t *testing.T) {
+	text := good
+	for _, kind := range []string{"wait", "finished", "deadline", "guarantee", "up", "harmony", "harmony", "haste"} {
+		text = strings.Replace(text, "[cluster.workers]", "[[cluster.objectives]]\nkind = \""+kind+"\"\nclass = \"c\"\nwithin_s = 5.0\nnew = 1\n\n[cluster.workers]", 1)
+	}
+	c, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff([]string{"harmony", "haste"}, c.Cluster.UnknownObjectives()); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -135,7 +135,7 @@
 			continue
 		}
 		switch {
-		case o.Kind == config.ObjectiveWait:
+		case o.Kind == config.ObjectiveWait, o.Kind == config.ObjectiveUp:
 			add(o.WithinS)
 		case s.Service(): // it has no end
 		case o.Kind == config.ObjectiveFinished:
