--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -9,14 +9,15 @@
 
 // rules checks the protocol's rules at every step.
 type rules struct {
-	w        *World
-	jobs     map[string]*simJob
-	onAt     map[string]*workerTask // where a task is
-	use      map[string]float64     // GPUs by team
-	failures []string
-	started  int
-	late     int // starts after a confirmed cancellation
-	staged   int // parts of records written before they were named
+	w           *World
+	jobs        map[string]*simJob
+	onAt        map[string]*workerTask // where a task is
+	use         map[string]float64     // GPUs by team
+	failures    []string
+	started     int
+	late        int // starts after a confirmed cancellation
+	lowerTokens int // answers and orders with a lower token than the worker had seen
+	staged      int // parts of records written before they were named
 }
 
 // simJob is a job as the outside world knows it.
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -182,6 +182,7 @@
 
 func (k *worker) accept(token uint64) bool {
 	if token < k.token {
+		k.w.rules.lowerTokens++
 		return false
 	}
 	if token > k.token {
