Behind a cut, machines with replicas are given up after the time of a report's way round

The way of a worker that finds another controller takes a long report interval, 4 s and 1 s; the machine with replicas was given three seconds more.

--- a/internal/coordination/liveness.go
+++ b/internal/coordination/liveness.go
@@ -92,13 +92,7 @@
 		// With a peer out of reach the worker may be behind the same cut and
 		// on its way to a controller that carries its reports.
 		// Nor is one not receiving then because it does not answer this node's calls.
-		patience, whole := l.silence(), len(l.n.reachablePeers()) == len(l.n.cfg.Peers)
-		if missing {
-			patience = l.replicaSilence()
-		}
-		if !whole {
-			patience += tuning.CutPatience
-		}
+		patience, whole := l.patience(missing), len(l.n.reachablePeers()) == len(l.n.cfg.Peers)
 		if m.deleting || m.probes < tuning.ProbesToDelete || !(whole && l.notReceiving(m) || now.Sub(m.lastReport) > patience) {
 			continue
 		}
@@ -117,6 +111,23 @@
 	}
 }
 
+// patience is how long a worker whose probes are not answered may be silent. With a
+// peer out of reach it may be behind the same cut, and on its way to a controller that
+// forwards its reports; a machine with replicas is given no more than that way takes.
+func (l *leader) patience(hasReplicas bool) time.Duration {
+	whole := len(l.n.reachablePeers()) == len(l.n.cfg.Peers)
+	switch {
+	case whole && hasReplicas:
+		return l.replicaSilence()
+	case whole:
+		return l.silence()
+	case hasReplicas:
+		interval := seconds(l.n.cfg.Cluster.Workers.ReportS * tuning.LongestReports)
+		return max(l.replicaSilence(), interval+tuning.RerouteTime)
+	}
+	return l.silence() + tuning.CutPatience
+}
+
 // deleteSilent returns a machine that does not answer.
 func (l *leader) deleteSilent(m *machine, why string) {
 	l.fleet.lostIn[m.zone] = l.n.now
--- a/internal/tuning/workers.go
+++ b/internal/tuning/workers.go
@@ -32,6 +32,13 @@
 	// CutPatience is how much longer a worker may be silent while a peer is
 	// out of reach: it tries the leader, waits 4 s, and comes to another node.
 	CutPatience = 9 * time.Second
+	// LongestReports is the longest report interval, as a multiple of the nominal one:
+	// reports jitter by a quarter.
+	LongestReports = 1.25
+	// RerouteTime is how long a worker takes from a report that nobody answers to its
+	// next one at another node: it waits 4 s and comes a second later. One second is
+	// for the way.
+	RerouteTime = 6 * time.Second
 	// SilentShare is the part of the fleet that may be silent at once before
 	// the network is suspected instead of the machines.
 	SilentShare = 0.34
