--- a/internal/bookkeeping/bookkeeping_test.go
+++ b/internal/bookkeeping/bookkeeping_test.go
@@ -91,7 +91,7 @@
 	spec := &protocol.Job{ID: "run-1", Tasks: 3}
 	for _, c := range []struct {
 		rec  Job
-		want string
+		want protocol.Phase
 	}{
 		{Job{}, protocol.PhasePending},
 		{Job{Done: 1}, protocol.PhasePending},
--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -259,9 +259,9 @@
 
 // Final is the record of a finished job.
 type Final struct {
-	Writer string `json:"w"`
-	Phase  string `json:"phase"`
-	Done   int    `json:"done"`
+	Writer string         `json:"w"`
+	Phase  protocol.Phase `json:"phase"`
+	Done   int            `json:"done"`
 }
 
 // TasksPerRecord is the number of a job's tasks per record that the limits allow. The
--- a/internal/coordination/batch.go
+++ b/internal/coordination/batch.go
@@ -31,7 +31,7 @@
 func (b *batch) remainingChanges() int { return b.maxChanges - len(b.txn.Then) }
 
 func (b *batch) fits(ops, conditions, bytes int) bool {
-	return b.remainingChanges() >= ops && len(b.txn.If)+conditions <= 4*b.l.limits().TxnOps && b.bytes+bytes <= tuning.TxnBytes
+	return b.remainingChanges() >= ops && len(b.txn.If)+conditions <= conditionsPerChange*b.l.limits().TxnOps && b.bytes+bytes <= tuning.TxnBytes
 }
 
 func (b *batch) guard(key string, stamp uint64) {
@@ -250,7 +250,7 @@
 }
 
 // finalPhase is the phase in which the job has ended, or "".
-func (j *job) finalPhase() string {
+func (j *job) finalPhase() protocol.Phase {
 	switch {
 	case j.cancelled && len(j.attempts) == 0:
 		return protocol.PhaseCancelled
--- a/internal/coordination/cancellation.go
+++ b/internal/coordination/cancellation.go
@@ -15,12 +15,7 @@
 		n.reply(id, 200, protocol.Accepted{ID: job, Phase: f.Phase})
 		return
 	}
-	if !n.mirror.Ready() {
-		n.refuse(id, "starting")
-		return
-	}
-	if n.stateUnreachable() {
-		n.refuse(id, "state service out of reach")
+	if n.refuseUnserved(id, n.mirror.Ready()) {
 		return
 	}
 	if !n.takeWriteBudget() {
--- a/internal/coordination/fences_test.go
+++ b/internal/coordination/fences_test.go
@@ -21,7 +21,7 @@
 
 func ops(cmds []protocol.Command) (s string) {
 	for _, c := range cmds {
-		s += c.Op + " "
+		s += string(c.Op) + " "
 	}
 	return s
 }
@@ -134,13 +134,13 @@
 // TestCommitFirst: a placement is guarded on the leader lease, the job and the room it
 // takes, and no start leaves before it is committed.
 func TestCommitFirst(t *testing.T) {
-	t.Run(protocol.ShapeGang, func(t *testing.T) { commitFirst(t, protocol.ShapeGang, (*leader).placeGang) })
-	t.Run(protocol.ShapeArray, func(t *testing.T) {
+	t.Run(string(protocol.ShapeGang), func(t *testing.T) { commitFirst(t, protocol.ShapeGang, (*leader).placeGang) })
+	t.Run(string(protocol.ShapeArray), func(t *testing.T) {
 		commitFirst(t, protocol.ShapeArray, func(l *leader, j *job) bool { return l.placeArray(j, false) == 0 })
 	})
 }
 
-func commitFirst(t *testing.T, shape string, place func(*leader, *job) bool) {
+func commitFirst(t *testing.T, shape protocol.Shape, place func(*leader, *job) bool) {
 	l := testLeader(time.Unix(1_800_000_000, 0))
 	m := l.testMachine("i-1", "big", "a", false)
 	s := gangOf(2, 1)
--- a/internal/coordination/job.go
+++ b/internal/coordination/job.go
@@ -81,8 +81,8 @@
 	session   uint64
 	slots     []int
 	committed bool
-	sent      bool   // a start may have left
-	state     string // as last reported, "" while never seen
+	sent      bool               // a start may have left
+	state     protocol.TaskState // as last reported, "" while never seen
 	since     time.Time
 	running   time.Time // when it was first seen running
 	pinned    bool      // a direct start was never answered: it may yet arrive
@@ -176,3 +176,6 @@
 	}
 	return false
 }
+
+// taskKey is the key of the attempt on its machine.
+func (c *taskAttempt) taskKey() taskKey { return taskKey{c.j.id, c.key.index, c.key.attempt} }
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -57,7 +57,7 @@
 	deleting bool
 
 	born     time.Time
-	phase    string
+	phase    protocol.MachinePhase
 	failed   map[string]bool // jobs that failed here, none succeeding between
 	distrust bool
 	images   []image
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -146,7 +146,7 @@
 			if status != 200 && status != 409 {
 				// It may arrive at any later time while session and token match.
 				c.pinned = true
-				m.pins[taskKey{c.j.id, c.key.index, c.key.attempt}] = true
+				m.pins[c.taskKey()] = true
 			}
 		}
 		if status != 200 && status != 409 {
--- a/internal/coordination/polls.go
+++ b/internal/coordination/polls.go
@@ -51,7 +51,7 @@
 	if len(n.polls) == 0 {
 		return
 	}
-	limit := n.cfg.Cluster.State.TxnOps * 4
+	limit := n.cfg.Cluster.State.TxnOps * conditionsPerChange
 	if n.now.Before(n.pollAt) && len(n.polls) < limit {
 		return
 	}
@@ -59,63 +59,83 @@
 		n.dropLatePolls()
 		return
 	}
-	batch := n.polls
-	if len(batch) > limit {
-		batch = batch[:limit]
-	}
-	n.polls = append([]poll(nil), n.polls[len(batch):]...)
-	var txn protocol.Txn
-	status := map[string]protocol.Status{}
-	for _, p := range batch {
-		if _, ok := status[p.job]; ok {
+	b := n.takePolls(limit)
+	n.state("POST", protocol.PathTxn, b.compare, func(code int, body []byte) {
+		if !b.checked(code, body) {
+			for _, p := range b.polls {
+				n.refuse(p.id, "state service does not answer")
+			}
+			return
+		}
+		for _, p := range b.polls {
+			n.answerPoll(p, b)
+		}
+	})
+}
+
+// conditionsPerChange is how many conditions a transaction may have for each change
+// that it may have.
+const conditionsPerChange = 4
+
+// pollBatch is a number of polls that are checked together.
+type pollBatch struct {
+	polls   []poll
+	compare protocol.Txn
+	status  map[string]protocol.Status // by job, as the mirror has it
+	stale   map[string]bool            // keys whose records have changed since
+}
+
+// takePolls takes the first of the waiting polls.
+func (n *Node) takePolls(limit int) *pollBatch {
+	count := min(limit, len(n.polls))
+	b := &pollBatch{polls: n.polls[:count], status: map[string]protocol.Status{}, stale: map[string]bool{}}
+	n.polls = append([]poll(nil), n.polls[count:]...)
+	for _, p := range b.polls {
+		if _, ok := b.status[p.job]; ok {
 			continue
 		}
 		key := bookkeeping.JobKey(p.job)
-		s, stamp, ok := n.mirror.Status(key)
+		s, revision, ok := n.mirror.Status(key)
 		if !ok {
 			continue
 		}
-		status[p.job] = s
-		txn.If = append(txn.If, protocol.Condition{Key: key, Revision: stamp})
+		b.status[p.job] = s
+		b.compare.If = append(b.compare.If, protocol.Condition{Key: key, Revision: revision})
 	}
-	n.state("POST", protocol.PathTxn, txn, func(code int, body []byte) {
-		stale := map[string]bool{}
-		switch code {
-		case 200:
-		case 409:
-			var a protocol.TxnAnswer
-			if json.Unmarshal(body, &a) != nil || len(a.Failed) == 0 {
-				clear(status) // nothing is known to be fresh
-			}
-			for _, k := range a.Failed {
-				stale[k] = true
-			}
-		default:
-			for _, p := range batch {
-				n.refuse(p.id, "state service does not answer")
-			}
-			return
+	return b
+}
+
+// checked takes the answer to the comparison; false if there is none.
+func (b *pollBatch) checked(code int, body []byte) bool {
+	switch code {
+	case 200:
+		return true
+	case 409:
+		var a protocol.TxnAnswer
+		if json.Unmarshal(body, &a) != nil || len(a.Failed) == 0 {
+			clear(b.status) // nothing is known to be fresh
 		}
-		for _, p := range batch {
-			s, ok := status[p.job]
-			switch {
-			case !ok || stale[bookkeeping.JobKey(p.job)]:
-				if p.short {
-					n.lookUp(p.id, p.job, p.expire, func(s *protocol.Status) {
-						if s == nil {
-							n.refuse(p.id, "try again")
-							return
-						}
-						n.reply(p.id, 200, protocol.Accepted{ID: p.job, Phase: s.Phase})
-					})
-				} else {
-					n.answerQuery(p.id, p.job, p.expire)
-				}
-			case p.short:
-				n.reply(p.id, 200, protocol.Accepted{ID: p.job, Phase: s.Phase})
-			default:
-				n.reply(p.id, 200, s)
-			}
+		for _, k := range a.Failed {
+			b.stale[k] = true
 		}
-	})
+		return true
+	}
+	return false
+}
+
+// answerPoll answers from the mirror's record if that was the newest, else after
+// another look.
+func (n *Node) answerPoll(p poll, b *pollBatch) {
+	s, ok := b.status[p.job]
+	fresh := ok && !b.stale[bookkeeping.JobKey(p.job)]
+	switch {
+	case !fresh && p.short:
+		n.answerRepeated(p.id, p.job, p.expire)
+	case !fresh:
+		n.answerQuery(p.id, p.job, p.expire)
+	case p.short:
+		n.reply(p.id, 200, protocol.Accepted{ID: p.job, Phase: s.Phase})
+	default:
+		n.reply(p.id, 200, s)
+	}
 }
--- a/internal/coordination/record_stage_test.go
+++ b/internal/coordination/record_stage_test.go
@@ -62,7 +62,7 @@
 var hostName = "i-" + strings.Repeat("0", 80) + "231"
 
 // wideJob is a job whose description leaves room for few tasks in its first record.
-func wideJob(shape string) *bookkeeping.Job {
+func wideJob(shape protocol.Shape) *bookkeeping.Job {
 	s := &protocol.Job{ID: "run-000077", Class: "c", Team: "free", Shape: shape, Priority: "normal", Tasks: 98, CPUs: 0.1, MemoryGB: 0.1,
 		Image: "img", ImageGB: 1, Types: []string{"big", strings.Repeat("x", 1450)}}
 	rec := &bookkeeping.Job{Writer: "w-1", Spec: s, AtMs: 1_800_000_000_000, Seq: 5, Attempt: 2, RecordTasks: 98}
@@ -125,13 +125,22 @@
 	return nil, Request{}
 }
 
+// answer carries out what a leader has sent and answers it.
+func (s *storedRecords) answer(t *testing.T, l *leader, txn *protocol.Txn, r Request) {
+	t.Helper()
+	if !s.apply(*txn) {
+		t.Fatal("refused")
+	}
+	l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision})})
+}
+
 // TestSplitInSteps: a record that needs more parts than one transaction has changes
 // is split over several. After each of them another leader, which begins from what is
 // stored then, reads the same tasks and completes the split; every value and
 // transaction keeps within the lowered limits. (A leader without the steps wrote the
 // record as it was, again and again, and was refused.)
 func TestSplitInSteps(t *testing.T) {
-	for _, shape := range []string{protocol.ShapeArray, protocol.ShapeGang} {
+	for _, shape := range []protocol.Shape{protocol.ShapeArray, protocol.ShapeGang} {
 		for crashAfter := range 6 {
 			rec := wideJob(shape)
 			s := stored(rec)
@@ -155,11 +164,7 @@
 						t.Fatalf("%s: %d bytes under %s", shape, len(c.Value), c.Set)
 					}
 				}
-				if s.apply(*txn) {
-					l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision})})
-				} else {
-					t.Fatalf("%s: refused", shape)
-				}
+				s.answer(t, l, txn, r)
 				sameTasks(t, s.leader(protocol.PeerLevel), rec)
 			}
 			if steps < 2 {
@@ -189,10 +194,7 @@
 		j := l.jobs[rec.Spec.ID]
 		answer := func() {
 			txn, r := l.nextTxn(t)
-			if !s.apply(*txn) {
-				t.Fatal("refused")
-			}
-			l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision})})
+			s.answer(t, l, txn, r)
 		}
 		if txn, _ := l.nextTxn(t); txn == nil || len(j.newParts) < 8 {
 			t.Fatalf("%d parts", len(j.newParts))
@@ -253,8 +255,7 @@
 				t.Errorf("part %d is staged", num)
 			}
 		}
-		s.apply(*txn)
-		l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision})})
+		s.answer(t, l, txn, r)
 	}
 	sameTasks(t, s.leader(protocol.PeerLevel), rec)
 }
@@ -279,10 +280,7 @@
 				t.Error("deleted while the job is there")
 			}
 		}
-		if !s.apply(*txn) {
-			t.Fatal("refused: the leftover's revision was not taken")
-		}
-		l.n.handle(Response{ID: r.ID, Status: 200, Body: bookkeeping.Encode(protocol.TxnAnswer{Revision: s.revision})})
+		s.answer(t, l, txn, r) // refused if the leftover's revision was not taken
 	}
 	sameTasks(t, s.leader(protocol.PeerLevel), rec)
 	l.finish(l.jobs[rec.Spec.ID], bookkeeping.Final{Phase: protocol.PhaseDone})
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -16,10 +16,36 @@
 	if !r.Newer(m.session, m.seq) {
 		return nil, false
 	}
-	now := l.n.now
+	l.reportedSession(m, r)
+	l.reportedLiveness(m, r, answered)
+	if m.record == nil && m.tokenConfirmed {
+		// One that has not shown this leader's token may be gone: a late duplicate
+		// of an old report can come at any time.
+		l.queueMachineRecord(m)
+	}
+	if r.NoticeS != nil && !m.spotNotice {
+		m.spotNotice = true
+		l.plan = true
+		l.drain(m)
+	}
+	seen := make(map[taskKey]bool, len(r.Tasks))
+	l.reportedTasks(m, r, seen)
+	if m.tokenConfirmed {
+		l.dropAbsent(m, seen, answered)
+	}
+	if answered {
+		m.countUnseenAnswers(seen)
+		commands = l.orders(m, true)
+	}
+	return commands, true
+}
+
+// reportedSession takes the session and sequence number of a report. A newer session
+// has forgotten every attempt of an older one.
+func (l *leader) reportedSession(m *machine, r *protocol.Report) {
 	if r.Session > m.session {
 		m.pins = map[taskKey]bool{}
-		if m.tokenConfirmed && now.Sub(m.answered) < seconds(l.n.cfg.Cluster.Workers.LeaseS) {
+		if m.tokenConfirmed && l.n.now.Sub(m.answered) < seconds(l.n.cfg.Cluster.Workers.LeaseS) {
 			// Its lease ran out although its reports were answered all the time.
 			m.unseenAnswers = tuning.MissedAnswers
 		}
@@ -27,38 +53,35 @@
 	m.session, m.seq = r.Session, r.Seq
 	for _, c := range sortedAttempts(m) {
 		if c.session < r.Session {
-			l.dropAttempt(c) // a newer session has forgotten it
+			l.dropAttempt(c)
 		}
 	}
+}
+
+// reportedLiveness notes the sign of life that a report is.
+func (l *leader) reportedLiveness(m *machine, r *protocol.Report, answered bool) {
 	if !m.reported || m.lapsed {
 		m.reported, m.lapsed = true, false
-		m.idleSince = now
+		m.idleSince = l.n.now
 		l.sendSoon(m) // what was to be ordered waited for a sign of life
 	}
-	if fresh := r.Token == l.n.lease.term; fresh != m.tokenConfirmed {
-		m.tokenConfirmed = fresh
+	if confirmed := r.Token == l.n.lease.term; confirmed != m.tokenConfirmed {
+		m.tokenConfirmed = confirmed
 		l.plan = true
 	}
-	m.lastReport = now
+	m.lastReport = l.n.now
 	if answered {
-		m.answered = now
+		m.answered = l.n.now
 	} else {
 		m.unseenAnswers = 0 // it has answered a call
 	}
 	if !l.notReceiving(m) {
 		m.probes = 0
 	}
-	if m.record == nil && m.tokenConfirmed {
-		// One that has not shown this leader's token may be gone: a copy of an
-		// old report can come at any time.
-		l.queueMachineRecord(m)
-	}
-	if r.NoticeS != nil && !m.spotNotice {
-		m.spotNotice = true
-		l.plan = true
-		l.drain(m)
-	}
-	seen := make(map[taskKey]bool, len(r.Tasks))
+}
+
+// reportedTasks takes the tasks of a report and adds their keys to those seen.
+func (l *leader) reportedTasks(m *machine, r *protocol.Report, seen map[taskKey]bool) {
 	m.exited = m.exited[:0]
 	for _, t := range r.Tasks {
 		id, index, valid := protocol.SplitTask(t.Task)
@@ -69,35 +92,39 @@
 		seen[key] = true
 		l.reportedTask(m, key, t)
 	}
-	if m.tokenConfirmed {
-		for _, c := range sortedAttempts(m) {
-			switch {
-			case seen[taskKey{c.j.id, c.key.index, c.key.attempt}] || !c.sent || c.direct > 0 || c.pinned:
-			case c.inReply && !answered:
-				// The start may be in an answer that the worker has yet to read.
-			case c.state != "" || c.stop || c.loaded:
-				l.dropAttempt(c)
-			}
+}
+
+// dropAbsent drops the attempts that a report proves gone: the worker had them, or was
+// told of them, and does not have them now.
+func (l *leader) dropAbsent(m *machine, seen map[taskKey]bool, answered bool) {
+	for _, c := range sortedAttempts(m) {
+		switch {
+		case seen[c.taskKey()] || !c.sent || c.direct > 0 || c.pinned:
+		case c.inReply && !answered:
+			// The start may be in an answer that the worker has yet to read.
+		case c.state != "" || c.stop || c.loaded:
+			l.dropAttempt(c)
 		}
 	}
-	if answered {
-		lost, shown := m.lastAnswered && !m.tokenConfirmed, false
-		for _, c := range m.attempts {
-			if c.inReply {
-				_, there := seen[taskKey{c.j.id, c.key.index, c.key.attempt}]
-				lost, shown = lost || !there, shown || there
-				c.inReply = false
-			}
-		}
-		if lost {
-			m.unseenAnswers++
-		} else if shown {
-			m.unseenAnswers = 0
+}
+
+// countUnseenAnswers looks whether the last answer has shown an effect: the token, or
+// the starts that were in it.
+func (m *machine) countUnseenAnswers(seen map[taskKey]bool) {
+	lost, shown := m.lastAnswered && !m.tokenConfirmed, false
+	for _, c := range m.attempts {
+		if c.inReply {
+			there := seen[c.taskKey()]
+			lost, shown = lost || !there, shown || there
+			c.inReply = false
 		}
-		m.lastAnswered = true
-		commands = l.orders(m, true)
 	}
-	return commands, true
+	if lost {
+		m.unseenAnswers++
+	} else if shown {
+		m.unseenAnswers = 0
+	}
+	m.lastAnswered = true
 }
 
 // reportedTask takes one task of a report.
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -11,6 +11,7 @@
 	"github.com/gappond/gappond/internal/protocol"
 )
 
+// takeOver begins to lead with what the records say.
 func (n *Node) takeOver() {
 	l := &leader{n: n, since: n.now, jobs: map[string]*job{}, machines: map[string]*machine{}, teams: map[string]*team{}, unreadable: map[string]bool{}, plan: true,
 		calls: n.workerCalls(), fleet: newFleet(n.cfg.Cluster.Cloud.RPS)}
@@ -20,18 +21,40 @@
 	for _, t := range n.cfg.Cluster.Teams {
 		l.teams[t.Name] = &team{guaranteeCPUs: t.CPUs, guaranteeGPUs: t.GPUs, maxCPUs: t.MaxCPUs, maxGPUs: t.MaxGPUs}
 	}
-	sound := true
-	n.mirror.Each(bookkeeping.MachinePrefix, func(e protocol.Entry) {
+	allRead := l.loadMachineRecords()
+	l.loadJobs()
+	l.loadTaskRecords()
+	l.splitMachineRecords()
+	if allRead {
+		l.forgetUnrecorded()
+	}
+	// Jobs and machines come out of the mirror in no order; what follows must
+	// not depend on that.
+	for _, j := range l.ordered() {
+		l.checkEnded(j)
+	}
+	n.log.Info("leading", "term", n.lease.term, "jobs", len(l.jobs), "machines", len(l.machines))
+}
+
+// loadMachineRecords takes the machines; false if some record cannot be read.
+func (l *leader) loadMachineRecords() bool {
+	allRead := true
+	l.n.mirror.Each(bookkeeping.MachinePrefix, func(e protocol.Entry) {
 		rec, ok := parse[bookkeeping.MachineRecord](e.Value)
 		if !ok || len(rec.Machines) == 0 { // an empty one is deleted, so this is something else
-			sound = false
-			n.log.Error("machine record does not parse", "key", e.Key)
+			allRead = false
+			l.n.log.Error("machine record does not parse", "key", e.Key)
 			return
 		}
 		l.loadMachineRecord(e.Key, e.Revision, &rec)
 	})
 	slices.SortFunc(l.machineRecords, func(a, b *machineRecord) int { return cmp.Compare(a.key, b.key) })
-	n.mirror.Each(bookkeeping.JobPrefix, func(e protocol.Entry) {
+	return allRead
+}
+
+// loadJobs takes the jobs' own records.
+func (l *leader) loadJobs() {
+	l.n.mirror.Each(bookkeeping.JobPrefix, func(e protocol.Entry) {
 		rec, err := bookkeeping.DecodeJob(e.Value)
 		if err != nil {
 			l.leaveAlone(strings.TrimPrefix(e.Key, bookkeeping.JobPrefix), err)
@@ -39,12 +62,16 @@
 		}
 		l.addJob(rec, e.Revision)
 	})
-	n.mirror.Each(bookkeeping.TaskPrefix, func(e protocol.Entry) {
+}
+
+// loadTaskRecords takes the further records of the jobs.
+func (l *leader) loadTaskRecords() {
+	l.n.mirror.Each(bookkeeping.TaskPrefix, func(e protocol.Entry) {
 		id, num, ok := bookkeeping.ParseTaskRecordKey(e.Key)
-		j := l.jobs[id]
 		if ok && l.unreadable[id] {
 			return
 		}
+		j := l.jobs[id]
 		if !ok || j == nil {
 			l.cleanup = append(l.cleanup, e.Key) // left by a finished job
 			return
@@ -56,33 +83,30 @@
 			j.leftovers[num] = e.Revision
 			return
 		}
-		var c bookkeeping.TaskRecord
-		if err := json.Unmarshal(e.Value, &c); err != nil {
+		var rec bookkeeping.TaskRecord
+		if err := json.Unmarshal(e.Value, &rec); err != nil {
 			l.leaveAlone(id, err)
 			return
 		}
 		j.revisions[num] = e.Revision
-		l.addTasks(j, num, c.Tasks)
+		l.addTasks(j, num, rec.Tasks)
 	})
 	slices.Sort(l.cleanup)
-	l.splitMachineRecords()
+}
+
+// forgetUnrecorded forgets the machines that only jobs' records name. Places are
+// committed only on machines that a machine record has, and a machine leaves its record
+// only after its deletion was answered: a predecessor has proven it gone.
+func (l *leader) forgetUnrecorded() {
 	for _, m := range l.roster {
-		if m.record == nil && sound {
-			// Places are committed only on machines that a machine record has, and a
-			// machine leaves its record only after its deletion was answered: a
-			// predecessor has proven it gone.
+		if m.record == nil {
 			l.forget(m.id)
 		}
 	}
-	// Jobs and machines come out of the mirror in no order; what follows must
-	// not depend on that.
-	for _, j := range l.ordered() {
-		l.checkEnded(j)
-	}
-	n.log.Info("leading", "term", n.lease.term, "jobs", len(l.jobs), "machines", len(l.machines))
 }
 
-func (l *leader) addJob(rec *bookkeeping.Job, stamp uint64) *job {
+// addJob takes a job from its own record.
+func (l *leader) addJob(rec *bookkeeping.Job, revision uint64) *job {
 	s := rec.Spec
 	j := &job{
 		id: s.ID, spec: s, rank: s.Rank(), seq: rec.Seq, at: time.UnixMilli(rec.AtMs),
@@ -94,9 +118,9 @@
 		waitingSince: l.n.now,
 	}
 	if j.seq == 0 {
-		j.seq = stamp // never written since its submission
+		j.seq = revision // never written since its submission
 	}
-	j.revisions[0] = stamp
+	j.revisions[0] = revision
 	j.extraParts = make([][]int, len(j.revisions)-rec.BaseRecords())
 	j.startBy = l.startTimes(j)
 	l.n.log.Debug("job", "job", j.id, "class", s.Class, "shape", s.Shape, "tasks", s.Tasks, "gpus", s.GPUs, "team", s.Team, "estimate", s.EstimateS, "deadline", s.DeadlineS, "age", l.n.now.Sub(j.at).Seconds())
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -50,17 +50,13 @@
 // amountSlack absorbs rounding in sums of decimal amounts.
 const amountSlack = 1e-6
 
+// submit takes a user's submission.
 func (n *Node) submit(id uint64, j *protocol.Job) {
 	if f, ok := n.finals[j.ID]; ok {
 		n.reply(id, 200, protocol.Accepted{ID: j.ID, Phase: f.Phase})
 		return
 	}
-	if !n.mirror.Ready() || len(n.types) == 0 {
-		n.refuse(id, "starting")
-		return
-	}
-	if n.stateUnreachable() {
-		n.refuse(id, "state service out of reach")
+	if n.refuseUnserved(id, n.mirror.Ready() && len(n.types) > 0) {
 		return
 	}
 	if e, ok := n.mirror.Get(bookkeeping.JobKey(j.ID)); ok {
@@ -68,15 +64,7 @@
 		return
 	}
 	if why := n.unrunnableReason(j); why != "" {
-		// The job may have been accepted by a peer and be over; only a job
-		// that nobody knows is refused.
-		n.lookUp(id, j.ID, n.now.Add(tuning.UserDeadline), func(s *protocol.Status) {
-			if s != nil {
-				n.reply(id, 200, protocol.Accepted{ID: j.ID, Phase: s.Phase})
-				return
-			}
-			n.reply(id, 422, protocol.ErrorBody{Error: why})
-		})
+		n.refuseUnrunnable(id, j.ID, why)
 		return
 	}
 	if !n.takeWriteBudget() {
@@ -85,36 +73,73 @@
 		}
 		return
 	}
+	n.storeSubmission(id, j.ID, n.submissionTxn(j), n.now.Add(tuning.UserDeadline))
+}
+
+// refuseUnrunnable refuses a job that can never run. It may have been accepted by a
+// peer and be over; only a job that nobody knows is refused.
+func (n *Node) refuseUnrunnable(id uint64, job, why string) {
+	n.lookUp(id, job, n.now.Add(tuning.UserDeadline), func(s *protocol.Status) {
+		if s != nil {
+			n.reply(id, 200, protocol.Accepted{ID: job, Phase: s.Phase})
+			return
+		}
+		n.reply(id, 422, protocol.ErrorBody{Error: why})
+	})
+}
+
+// submissionTxn is the transaction that makes a submission durable: the job must be
+// unknown, finished or not.
+func (n *Node) submissionTxn(j *protocol.Job) []byte {
 	state := n.cfg.Cluster.State
-	rec := bookkeeping.Job{Writer: n.unique(), Spec: j, AtMs: n.now.UnixMilli(), RecordTasks: bookkeeping.TasksPerRecord(state.ValueKB, state.TxnOps, j)}
-	txn := bookkeeping.Encode(protocol.Txn{
+	rec := bookkeeping.Job{Writer: n.unique(), Spec: j, AtMs: n.now.UnixMilli(),
+		RecordTasks: bookkeeping.TasksPerRecord(state.ValueKB, state.TxnOps, j)}
+	return bookkeeping.Encode(protocol.Txn{
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(j.ID)}, {Key: bookkeeping.FinalKey(j.ID)}},
 		Then: []protocol.Change{{Set: bookkeeping.JobKey(j.ID), Value: bookkeeping.Encode(rec)}},
 	})
-	deadline := n.now.Add(tuning.UserDeadline)
-	var send func()
-	send = func() {
-		n.state("POST", protocol.PathTxn, []byte(txn), func(status int, _ []byte) {
-			switch {
-			case status == 200:
-				n.reply(id, 201, protocol.Accepted{ID: j.ID, Phase: protocol.PhasePending})
-			case status == 409:
-				n.lookUp(id, j.ID, deadline, func(s *protocol.Status) {
-					if s == nil {
-						n.refuse(id, "try again")
-						return
-					}
-					n.reply(id, 200, protocol.Accepted{ID: j.ID, Phase: s.Phase})
-				})
-			case status == 0 && n.now.Before(deadline):
-				// The lost transaction may yet apply; the same one again finds out.
-				send()
-			default:
-				n.refuse(id, "state service does not answer")
-			}
-		})
+}
+
+// storeSubmission sends it, and again while its answer is lost: it may yet apply, and
+// the same one again finds out.
+func (n *Node) storeSubmission(id uint64, job string, txn []byte, deadline time.Time) {
+	n.state("POST", protocol.PathTxn, txn, func(status int, _ []byte) {
+		switch {
+		case status == 200:
+			n.reply(id, 201, protocol.Accepted{ID: job, Phase: protocol.PhasePending})
+		case status == 409:
+			n.answerRepeated(id, job, deadline)
+		case status == 0 && n.now.Before(deadline):
+			n.storeSubmission(id, job, txn, deadline)
+		default:
+			n.refuse(id, "state service does not answer")
+		}
+	})
+}
+
+// answerRepeated answers the submission of a job that is known already.
+func (n *Node) answerRepeated(id uint64, job string, deadline time.Time) {
+	n.lookUp(id, job, deadline, func(s *protocol.Status) {
+		if s == nil {
+			n.refuse(id, "try again")
+			return
+		}
+		n.reply(id, 200, protocol.Accepted{ID: job, Phase: s.Phase})
+	})
+}
+
+// refuseUnserved refuses a request at once while the node is starting or the state
+// service does not answer it.
+func (n *Node) refuseUnserved(id uint64, started bool) bool {
+	switch {
+	case !started:
+		n.refuse(id, "starting")
+	case n.stateUnreachable():
+		n.refuse(id, "state service out of reach")
+	default:
+		return false
 	}
-	send()
+	return true
 }
 
 // submission is a submission on its way to a peer.
@@ -122,17 +147,13 @@
 	return protocol.PeerRequest{Verb: verbSubmit, Job: j.ID, Body: bookkeeping.Encode(j)}
 }
 
+// query answers a user's poll.
 func (n *Node) query(id uint64, job string) {
 	if f, ok := n.finals[job]; ok {
 		n.reply(id, 200, finalStatus(job, f))
 		return
 	}
-	if !n.mirror.Ready() {
-		n.refuse(id, "starting")
-		return
-	}
-	if n.stateUnreachable() {
-		n.refuse(id, "state service out of reach")
+	if n.refuseUnserved(id, n.mirror.Ready()) {
 		return
 	}
 	if e, ok := n.mirror.Get(bookkeeping.JobKey(job)); ok {
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -1,10 +1,13 @@
 package protocol
 
+// MachinePhase is the state of a machine in the list of the cloud.
+type MachinePhase string
+
 // Phases of a machine in the cloud's list.
 const (
-	MachineBooting = "starting"
-	MachineRunning = "running"
-	MachineFailed  = "failed"
+	MachineBooting MachinePhase = "starting"
+	MachineRunning MachinePhase = "running"
+	MachineFailed  MachinePhase = "failed"
 )
 
 // MachineType is one entry of the cloud's price list.
@@ -78,13 +81,13 @@
 
 // Machine is an entry of the cloud's machine list.
 type Machine struct {
-	ID      string  `json:"uid"`
-	Address string  `json:"address"`
-	Type    string  `json:"build"`
-	Zone    string  `json:"yard"`
-	Spot    bool    `json:"loaners"`
-	Phase   string  `json:"phase"`
-	AgeS    float64 `json:"age_s"`
+	ID      string       `json:"uid"`
+	Address string       `json:"address"`
+	Type    string       `json:"build"`
+	Zone    string       `json:"yard"`
+	Spot    bool         `json:"loaners"`
+	Phase   MachinePhase `json:"phase"`
+	AgeS    float64      `json:"age_s"`
 }
 
 // MachineList is a page of the cloud's machine list.
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 )
 
@@ -16,21 +17,27 @@
 // MaxTasks is the largest number of tasks a job may have.
 const MaxTasks = 100_000
 
+// Shape says how the tasks of a job belong together.
+type Shape string
+
 // Shapes of a job.
 const (
-	ShapeArray = "array"
-	ShapeGang  = "gang"
+	ShapeArray Shape = "array"
+	ShapeGang  Shape = "gang"
 	// ShapeService is a set of tasks, replicas, that run until their user cancels
 	// them: one that ends for any other cause runs again.
-	ShapeService = "standing"
+	ShapeService Shape = "standing"
 )
 
+// Phase is the state of a job as users see it.
+type Phase string
+
 // Phases of a job as users see them.
 const (
-	PhasePending   = "pending"
-	PhaseRunning   = "running"
-	PhaseDone      = "done"
-	PhaseCancelled = "withdrawn"
+	PhasePending   Phase = "pending"
+	PhaseRunning   Phase = "running"
+	PhaseDone      Phase = "done"
+	PhaseCancelled Phase = "withdrawn"
 )
 
 // Rank is a job's priority; a larger one goes first.
@@ -61,7 +68,7 @@
 	ID          string   `json:"uid"`
 	Class       string   `json:"lane"`
 	Team        string   `json:"crew"`
-	Shape       string   `json:"shape"`
+	Shape       Shape    `json:"shape"`
 	Priority    string   `json:"rank"`
 	Tasks       int      `json:"pieces"`
 	CPUs        float64  `json:"cpus"`
@@ -144,97 +151,127 @@
 	if err := json.Unmarshal(body, &w); err != nil {
 		return nil, fmt.Errorf("not valid JSON for a job: %w", err)
 	}
-	var j Job
-	var bad []string
-	str := func(name string, from *string, to *string) {
-		if from == nil || *from == "" || len(*from) > maxName {
-			bad = append(bad, name)
-			return
-		}
-		*to = *from
-	}
-	num := func(name string, from *float64, to *float64, required bool) {
-		if from == nil {
-			if required {
-				bad = append(bad, name)
-			}
-			return
-		}
-		if *from < 0 || math.IsNaN(*from) || math.IsInf(*from, 0) {
-			bad = append(bad, name)
-			return
-		}
-		*to = *from
+	c := &jobChecker{}
+	j := c.job(&w)
+	if len(c.bad) > 0 {
+		return nil, fmt.Errorf("missing or invalid: %s", strings.Join(c.bad, ", "))
 	}
-	flag := func(name string, from *bool, to *bool) {
-		if from == nil {
-			bad = append(bad, name)
-			return
-		}
-		*to = *from
-	}
-	str("uid", w.ID, &j.ID)
-	str("lane", w.Class, &j.Class)
-	str("crew", w.Team, &j.Team)
-	str("shape", w.Shape, &j.Shape)
-	str("rank", w.Priority, &j.Priority)
-	str("bundle", w.Image, &j.Image)
-	num("cpus", w.CPUs, &j.CPUs, true)
-	num("gpus", w.GPUs, &j.GPUs, true)
-	num("memory_gb", w.MemoryGB, &j.MemoryGB, true)
-	num("pull_gb", w.ImageGB, &j.ImageGB, true)
-	num("expect_s", w.EstimateS, &j.EstimateS, true)
-	num("snapshot_s", w.CheckpointS, &j.CheckpointS, true)
-	num("flush_s", w.SaveS, &j.SaveS, true)
-	num("due_s", w.DeadlineS, &j.DeadlineS, false)
-	flag("one_zone", w.OneZone, &j.OneZone)
-	flag("scatter", w.Spread, &j.Spread)
-	flag("loaners", w.Spot, &j.Spot)
-	if !ValidID(j.ID) {
-		bad = append(bad, "uid")
-	}
-	if j.Shape != ShapeArray && j.Shape != ShapeGang && j.Shape != ShapeService {
-		bad = append(bad, "shape")
-	}
-	if _, ok := ParseRank(j.Priority); !ok {
-		bad = append(bad, "rank")
-	}
-	if w.Tasks == nil || *w.Tasks == 0 || *w.Tasks > MaxTasks {
-		bad = append(bad, "pieces")
-	} else {
-		j.Tasks = int(*w.Tasks)
+	if size, err := json.Marshal(j); err != nil || len(size) > MaxSpec {
+		return nil, fmt.Errorf("the description takes more than %d bytes", MaxSpec)
+	}
+	return j, nil
+}
+
+// jobChecker takes the fields of a submission and notes the wire names of those that
+// are missing or invalid.
+type jobChecker struct{ bad []string }
+
+// job takes all fields.
+func (c *jobChecker) job(w *jobWire) *Job {
+	j := &Job{
+		ID:          c.text("uid", w.ID),
+		Class:       c.text("lane", w.Class),
+		Team:        c.text("crew", w.Team),
+		Shape:       Shape(c.text("shape", w.Shape)),
+		Priority:    c.text("rank", w.Priority),
+		Image:       c.text("bundle", w.Image),
+		CPUs:        c.amount("cpus", w.CPUs),
+		GPUs:        c.amount("gpus", w.GPUs),
+		MemoryGB:    c.amount("memory_gb", w.MemoryGB),
+		ImageGB:     c.amount("pull_gb", w.ImageGB),
+		EstimateS:   c.amount("expect_s", w.EstimateS),
+		CheckpointS: c.amount("snapshot_s", w.CheckpointS),
+		SaveS:       c.amount("flush_s", w.SaveS),
+		DeadlineS:   c.optionalAmount("due_s", w.DeadlineS),
+		OneZone:     c.flag("one_zone", w.OneZone),
+		Spread:      c.flag("scatter", w.Spread),
+		Spot:        c.flag("loaners", w.Spot),
 	}
+	c.check("uid", ValidID(j.ID))
+	c.check("shape", slices.Contains([]Shape{ShapeArray, ShapeGang, ShapeService}, j.Shape))
+	_, known := ParseRank(j.Priority)
+	c.check("rank", known)
+	j.Tasks = c.tasks(w.Tasks)
 	if w.Zone != nil {
-		str("yard", w.Zone, &j.Zone)
-	}
-	if len(w.Types) > 64 {
-		bad = append(bad, "builds")
-	} else {
-		for _, t := range w.Types {
-			if t == nil || *t == "" || len(*t) > 64 {
-				bad = append(bad, "builds")
-				break
-			}
-			j.Types = append(j.Types, *t)
-		}
+		j.Zone = c.text("yard", w.Zone)
 	}
-	if w.Types != nil && len(w.Types) == 0 {
-		// An empty list allows no machine at all: it is not the same as null.
-		j.Types = []string{" "}
+	j.Types = c.types(w.Types)
+	return j
+}
+
+// check notes a field that is not sound.
+func (c *jobChecker) check(name string, sound bool) {
+	if !sound {
+		c.bad = append(c.bad, name)
 	}
-	if size, err := json.Marshal(&j); len(bad) == 0 && (err != nil || len(size) > MaxSpec) {
-		return nil, fmt.Errorf("the description takes more than %d bytes", MaxSpec)
+}
+
+func (c *jobChecker) text(name string, value *string) string {
+	if value == nil || *value == "" || len(*value) > maxName {
+		c.check(name, false)
+		return ""
 	}
-	if len(bad) > 0 {
-		return nil, fmt.Errorf("missing or invalid: %s", strings.Join(bad, ", "))
+	return *value
+}
+
+func (c *jobChecker) amount(name string, value *float64) float64 {
+	if value == nil || *value < 0 || math.IsNaN(*value) || math.IsInf(*value, 0) {
+		c.check(name, false)
+		return 0
+	}
+	return *value
+}
+
+// optionalAmount takes an amount that may be missing.
+func (c *jobChecker) optionalAmount(name string, value *float64) float64 {
+	if value == nil {
+		return 0
+	}
+	return c.amount(name, value)
+}
+
+func (c *jobChecker) flag(name string, value *bool) bool {
+	c.check(name, value != nil)
+	return value != nil && *value
+}
+
+func (c *jobChecker) tasks(value *uint64) int {
+	if value == nil || *value == 0 || *value > MaxTasks {
+		c.check("pieces", false)
+		return 0
 	}
-	return &j, nil
+	return int(*value)
 }
 
+// types takes the allowed machine types. An empty list allows no machine at all: it is
+// not the same as null.
+func (c *jobChecker) types(values []*string) []string {
+	if values != nil && len(values) == 0 {
+		return []string{noType}
+	}
+	var list []string
+	for _, t := range values {
+		if t == nil || *t == "" || len(*t) > maxTypeName || len(values) > maxTypes {
+			c.check("builds", false)
+			return nil
+		}
+		list = append(list, *t)
+	}
+	return list
+}
+
+// Limits of a job's machine types.
+const (
+	maxTypes    = 64 // names in the list
+	maxTypeName = 64 // bytes of each
+	// noType is the name of no machine type.
+	noType = " "
+)
+
 // Status is what a user is told of a job.
 type Status struct {
 	ID      string `json:"uid"`
-	Phase   string `json:"phase"`
+	Phase   Phase  `json:"phase"`
 	Done    int    `json:"done"`
 	Running int    `json:"running"`
 }
@@ -242,5 +279,5 @@
 // Accepted is the short answer to a submission or a cancellation.
 type Accepted struct {
 	ID    string `json:"uid"`
-	Phase string `json:"phase"`
+	Phase Phase  `json:"phase"`
 }
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -278,8 +278,8 @@
 	for _, t := range r.Tasks {
 		e.str(t.Task)
 		e.num(t.Attempt)
-		e.str(t.State)
-		e.str(t.Cause)
+		e.str(string(t.State))
+		e.str(string(t.Cause))
 		e.flag(t.Saved)
 	}
 }
@@ -293,7 +293,7 @@
 	}
 	n := d.count(5)
 	for i := 0; i < n && d.err == nil; i++ {
-		r.Tasks = append(r.Tasks, TaskReport{Task: d.str(), Attempt: d.num(), State: d.str(), Cause: d.str(), Saved: d.flag()})
+		r.Tasks = append(r.Tasks, TaskReport{Task: d.str(), Attempt: d.num(), State: TaskState(d.str()), Cause: Cause(d.str()), Saved: d.flag()})
 	}
 	return r
 }
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -8,41 +8,50 @@
 	"strings"
 )
 
+// TaskState is the state of a task on a worker.
+type TaskState string
+
 // States of a task on a worker.
 const (
-	TaskFetching = "fetching"
-	TaskWaiting  = "waiting"
-	TaskRunning  = "running"
-	TaskSaving   = "saving"
-	TaskExited   = "exited"
+	TaskFetching TaskState = "fetching"
+	TaskWaiting  TaskState = "waiting"
+	TaskRunning  TaskState = "running"
+	TaskSaving   TaskState = "saving"
+	TaskExited   TaskState = "exited"
 )
 
+// Cause says why a task exited.
+type Cause string
+
 // Causes of a task's exit.
 const (
-	CauseDone        = "done"
-	CauseStopped     = "stopped"
-	CauseGangBroken  = "mates_gone"
-	CauseGangTimeout = "alone"
-	CauseError       = "error"
-	CauseNoRoom      = "full"
-	CauseBusy        = "in_use"
-	CauseUnknown     = "no_such"
+	CauseDone        Cause = "done"
+	CauseStopped     Cause = "stopped"
+	CauseGangBroken  Cause = "mates_gone"
+	CauseGangTimeout Cause = "alone"
+	CauseError       Cause = "error"
+	CauseNoRoom      Cause = "full"
+	CauseBusy        Cause = "in_use"
+	CauseUnknown     Cause = "no_such"
 )
 
+// Verb is what a command asks of a worker.
+type Verb string
+
 // Verbs of a worker's commands.
 const (
-	OpStart  = "start"
-	OpStop   = "halt"
-	OpForget = "reap"
+	OpStart  Verb = "start"
+	OpStop   Verb = "halt"
+	OpForget Verb = "reap"
 )
 
 // TaskReport is one task in a worker's report.
 type TaskReport struct {
-	Task    string `json:"piece"`
-	Attempt uint64 `json:"try"`
-	State   string `json:"phase"`
-	Cause   string `json:"cause,omitempty"`
-	Saved   bool   `json:"kept,omitempty"`
+	Task    string    `json:"piece"`
+	Attempt uint64    `json:"try"`
+	State   TaskState `json:"phase"`
+	Cause   Cause     `json:"cause,omitempty"`
+	Saved   bool      `json:"kept,omitempty"`
 }
 
 // Report is a worker's report.
@@ -94,7 +103,7 @@
 
 // Command is one order to a worker.
 type Command struct {
-	Op      string  `json:"verb"`
+	Op      Verb    `json:"verb"`
 	Task    string  `json:"piece"`
 	Attempt uint64  `json:"try"`
 	GraceS  float64 `json:"leeway_s,omitempty"`
--- a/internal/simulation/downtime_test.go
+++ b/internal/simulation/downtime_test.go
@@ -212,7 +212,7 @@
 			c.crash(time.Millisecond)
 		}
 		w.Run(6 * time.Second)
-		ask := func(c *controller, event func(id uint64) coordination.Event) (status int, phase string) {
+		ask := func(c *controller, event func(id uint64) coordination.Event) (status int, phase protocol.Phase) {
 			c.ask(event, func(s int, body []byte) {
 				var a protocol.Accepted
 				if status = s; s < 300 {
--- a/internal/simulation/gang.go
+++ b/internal/simulation/gang.go
@@ -15,8 +15,8 @@
 	name    string
 	index   int
 	attempt uint64
-	state   string
-	cause   string
+	state   protocol.TaskState
+	cause   protocol.Cause
 	kept    bool
 	on      bool // it has its image and has not exited
 	began   time.Time
@@ -53,7 +53,7 @@
 		if t.job.Service() {
 			if j.ends > 0 {
 				t.k.wait(w.between(j.ends/2, j.ends), t, func() {
-					t.exit([]string{protocol.CauseDone, protocol.CauseError}[w.rng.IntN(2)], false)
+					t.exit([]protocol.Cause{protocol.CauseDone, protocol.CauseError}[w.rng.IntN(2)], false)
 				})
 			}
 			return
@@ -187,7 +187,7 @@
 }
 
 // exit ends a task; it stays in the reports until it is forgotten.
-func (t *workerTask) exit(cause string, kept bool) {
+func (t *workerTask) exit(cause protocol.Cause, kept bool) {
 	if t.state == protocol.TaskExited {
 		return
 	}
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -13,9 +13,9 @@
 	w        *World
 	j        *simJob
 	accepted bool
-	since    time.Time // of the first attempt to submit
-	answered time.Time // of the newest answer about the job
-	phase    string    // the newest answer
+	since    time.Time      // of the first attempt to submit
+	answered time.Time      // of the newest answer about the job
+	phase    protocol.Phase // the newest answer
 	cancelAt time.Duration
 	asked    bool // has asked to cancel
 	over     bool
@@ -79,7 +79,7 @@
 	u.answered = u.w.Now
 	var a protocol.Accepted
 	decode(body, &a)
-	final := func(p string) bool { return p == protocol.PhaseDone || p == protocol.PhaseCancelled }
+	final := func(p protocol.Phase) bool { return p == protocol.PhaseDone || p == protocol.PhaseCancelled }
 	if final(u.phase) && a.Phase != u.phase {
 		u.w.rules.violated("went_back", "%s was %s and is %s", a.ID, u.phase, a.Phase)
 	}
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -249,7 +249,7 @@
 	j := k.w.rules.jobs[id]
 	t := &workerTask{k: k, name: c.Task, index: index, attempt: c.Attempt, state: protocol.TaskFetching}
 	k.changed = true
-	refuse := func(cause string) {
+	refuse := func(cause protocol.Cause) {
 		t.state, t.cause = protocol.TaskExited, cause
 		k.tasks[key] = t
 	}
