--- a/internal/simulation/cloud_service.go
+++ b/internal/simulation/cloud_service.go
@@ -87,6 +87,7 @@
 	}
 }
 
+// serve answers a call as the protocol says, within the budget.
 func (c *cloudService) serve(method, path string, body []byte, answer func(int, []byte)) {
 	c.requests++
 	if c.down {
@@ -102,58 +103,78 @@
 	case u.Path == protocol.PathMachineTypes:
 		answer(200, encode(protocol.MachineTypes{Types: []protocol.MachineType{c.w.shape.Type}}))
 	case u.Path == protocol.PathMachines && method == "GET":
-		lag := c.w.between(4*time.Second, 10*time.Second)
-		var list []protocol.Machine
-		for _, s := range c.history {
-			if c.w.Now.Sub(s.at) >= lag {
-				list = s.list
-			}
-		}
-		from, found := slices.BinarySearchFunc(list, u.Query().Get("after"), func(m protocol.Machine, id string) int { return cmp.Compare(m.ID, id) })
-		if found {
-			from++
-		}
-		limit, _ := strconv.Atoi(u.Query().Get("page"))
-		list = list[from:]
-		answer(200, encode(protocol.MachineList{Machines: list[:min(limit, len(list))], More: len(list) > limit}))
+		c.list(u.Query(), answer)
 	case u.Path == protocol.PathMachines:
-		var r protocol.Rental
-		decode(body, &r)
-		if names, ok := c.rented[r.Request]; ok {
-			answer(200, encode(protocol.MachineNames{Machines: names}))
-			return
-		}
-		up := 0
-		for _, h := range c.hosts {
-			if !h.gone {
-				up++
-			}
-		}
-		if up >= c.capacity {
-			answer(503, encode(protocol.ErrorBody{Error: protocol.NoCapacity}))
-			return
-		}
-		var names []string
-		for range min(r.Count, c.capacity-up) {
-			boot := c.w.between(12*time.Second, 30*time.Second)
-			if c.w.rng.IntN(20) == 0 {
-				boot = time.Hour // never comes up
-			}
-			if c.quick {
-				boot = c.w.between(100*time.Millisecond, 2*time.Second)
-			}
-			names = append(names, c.add(r.Zone, r.Spot, boot))
+		c.rent(body, answer)
+	default:
+		c.remove(body, answer)
+	}
+}
+
+// list answers with a page of the machine list as it was a while ago.
+func (c *cloudService) list(q url.Values, answer func(int, []byte)) {
+	lag := c.w.between(4*time.Second, 10*time.Second)
+	var list []protocol.Machine
+	for _, s := range c.history {
+		if c.w.Now.Sub(s.at) >= lag {
+			list = s.list
 		}
-		c.rented[r.Request] = names
+	}
+	from, found := slices.BinarySearchFunc(list, q.Get("after"), func(m protocol.Machine, id string) int { return cmp.Compare(m.ID, id) })
+	if found {
+		from++
+	}
+	limit, _ := strconv.Atoi(q.Get("page"))
+	list = list[from:]
+	answer(200, encode(protocol.MachineList{Machines: list[:min(limit, len(list))], More: len(list) > limit}))
+}
+
+// rent rents machines as far as there are any.
+func (c *cloudService) rent(body []byte, answer func(int, []byte)) {
+	var r protocol.Rental
+	decode(body, &r)
+	if names, ok := c.rented[r.Request]; ok {
 		answer(200, encode(protocol.MachineNames{Machines: names}))
-	default:
-		var r protocol.MachineNames
-		decode(body, &r)
-		for _, h := range c.hosts {
-			if slices.Contains(r.Machines, h.ID) && !h.gone {
-				c.destroy(h)
-			}
+		return
+	}
+	up := 0
+	for _, h := range c.hosts {
+		if !h.gone {
+			up++
+		}
+	}
+	if up >= c.capacity {
+		answer(503, encode(protocol.ErrorBody{Error: protocol.NoCapacity}))
+		return
+	}
+	var names []string
+	for range min(r.Count, c.capacity-up) {
+		names = append(names, c.add(r.Zone, r.Spot, c.bootTime()))
+	}
+	c.rented[r.Request] = names
+	answer(200, encode(protocol.MachineNames{Machines: names}))
+}
+
+// bootTime is how long a machine takes to come up; one in twenty never does.
+func (c *cloudService) bootTime() time.Duration {
+	boot := c.w.between(12*time.Second, 30*time.Second)
+	if c.w.rng.IntN(20) == 0 {
+		boot = time.Hour
+	}
+	if c.quick {
+		boot = c.w.between(100*time.Millisecond, 2*time.Second)
+	}
+	return boot
+}
+
+// remove deletes machines.
+func (c *cloudService) remove(body []byte, answer func(int, []byte)) {
+	var r protocol.MachineNames
+	decode(body, &r)
+	for _, h := range c.hosts {
+		if slices.Contains(r.Machines, h.ID) && !h.gone {
+			c.destroy(h)
 		}
-		answer(200, encode(struct{}{}))
 	}
+	answer(200, encode(struct{}{}))
 }
--- a/internal/simulation/state_service.go
+++ b/internal/simulation/state_service.go
@@ -157,6 +157,7 @@
 	}
 }
 
+// serve answers a request as the protocol says, within the budgets.
 func (s *stateService) serve(method, path string, body []byte, from *controller, answer func(int, []byte)) {
 	s.requests++
 	s.bytes += len(body)
@@ -170,69 +171,98 @@
 		return
 	}
 	u, _ := url.Parse(path)
-	q := u.Query()
 	if s.down || from.refused {
 		answer(503, encode(protocol.ErrorBody{Error: "trouble"}))
 		return
 	}
-	if u.Path == "/watch" {
-		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
-		wait, _ := strconv.Atoi(q.Get("block_ms"))
-		x := &watch{from: from, prefix: q.Get("starts"), after: after, answer: answer}
-		s.watches = append(s.watches, x)
-		s.w.after(time.Duration(wait)*time.Millisecond, func() { s.show(x, true) })
-		s.notify()
-		return
-	}
 	switch {
+	case u.Path == "/watch":
+		s.watch(u.Query(), from, answer)
 	case method == "GET" && u.Path == "/kv":
-		var keys []string
-		for k := range s.keys {
-			if strings.HasPrefix(k, q.Get("starts")) && k > q.Get("after") {
-				keys = append(keys, k)
-			}
-		}
-		slices.Sort(keys)
-		limit, _ := strconv.Atoi(q.Get("page"))
-		page := protocol.Entries{Revision: s.revision, More: len(keys) > limit}
-		for _, k := range keys[:min(limit, len(keys))] {
-			page.Items = append(page.Items, s.keys[k])
-		}
-		answer(200, encode(page))
+		s.list(u.Query(), answer)
 	case method == "GET":
-		if e, ok := s.keys[strings.TrimPrefix(u.Path, "/kv/")]; ok {
-			answer(200, encode(e))
-		} else {
-			answer(404, encode(protocol.TxnAnswer{Revision: s.revision}))
-		}
-	case u.Path == protocol.PathTxn && s.lost > 0 && s.w.rng.Float64() < s.lost:
-		nobody := func(int, []byte) {}
-		if s.atOnce {
-			s.txn(body, nobody)
-			return
-		}
-		s.w.after(s.w.between(2*time.Second, 12*time.Second), func() { s.txn(body, nobody) })
+		s.get(strings.TrimPrefix(u.Path, "/kv/"), answer)
 	case u.Path == protocol.PathTxn:
-		s.txn(body, answer)
+		s.take(body, answer)
 	case u.Path == protocol.PathLeases:
-		var r protocol.LeaseRequest
-		decode(body, &r)
-		s.nextID++
-		ttl := time.Duration(r.TTLMs) * time.Millisecond
-		s.leases[s.nextID] = &lease{ttl, s.w.Now.Add(ttl)}
-		answer(200, encode(protocol.LeaseAnswer{Lease: s.nextID}))
-	default: // renew
-		id, _ := strconv.ParseUint(strings.Split(u.Path, "/")[2], 10, 64)
-		l := s.leases[id]
-		if l == nil {
-			answer(404, nil)
-			return
+		s.grant(body, answer)
+	default:
+		s.renew(u.Path, answer)
+	}
+}
+
+// watch opens a watch.
+func (s *stateService) watch(q url.Values, from *controller, answer func(int, []byte)) {
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("block_ms"))
+	x := &watch{from: from, prefix: q.Get("starts"), after: after, answer: answer}
+	s.watches = append(s.watches, x)
+	s.w.after(time.Duration(wait)*time.Millisecond, func() { s.show(x, true) })
+	s.notify()
+}
+
+// list answers with a page of keys.
+func (s *stateService) list(q url.Values, answer func(int, []byte)) {
+	var keys []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, q.Get("starts")) && k > q.Get("after") {
+			keys = append(keys, k)
 		}
-		l.expires = s.w.Now.Add(l.ttl)
-		answer(200, encode(protocol.LeaseAnswer{Lease: id}))
 	}
+	slices.Sort(keys)
+	limit, _ := strconv.Atoi(q.Get("page"))
+	page := protocol.Entries{Revision: s.revision, More: len(keys) > limit}
+	for _, k := range keys[:min(limit, len(keys))] {
+		page.Items = append(page.Items, s.keys[k])
+	}
+	answer(200, encode(page))
+}
+
+// get answers with one key.
+func (s *stateService) get(key string, answer func(int, []byte)) {
+	if e, ok := s.keys[key]; ok {
+		answer(200, encode(e))
+		return
+	}
+	answer(404, encode(protocol.TxnAnswer{Revision: s.revision}))
 }
 
+// take carries a transaction out, unless it, or its answer, is to be lost.
+func (s *stateService) take(body []byte, answer func(int, []byte)) {
+	nobody := func(int, []byte) {}
+	switch {
+	case s.lost == 0 || s.w.rng.Float64() >= s.lost:
+		s.txn(body, answer)
+	case s.atOnce:
+		s.txn(body, nobody)
+	default:
+		s.w.after(s.w.between(2*time.Second, 12*time.Second), func() { s.txn(body, nobody) })
+	}
+}
+
+// grant gives a lease.
+func (s *stateService) grant(body []byte, answer func(int, []byte)) {
+	var r protocol.LeaseRequest
+	decode(body, &r)
+	s.nextID++
+	ttl := time.Duration(r.TTLMs) * time.Millisecond
+	s.leases[s.nextID] = &lease{ttl, s.w.Now.Add(ttl)}
+	answer(200, encode(protocol.LeaseAnswer{Lease: s.nextID}))
+}
+
+// renew renews the lease that a path names.
+func (s *stateService) renew(path string, answer func(int, []byte)) {
+	id, _ := strconv.ParseUint(strings.Split(path, "/")[2], 10, 64)
+	l := s.leases[id]
+	if l == nil {
+		answer(404, nil)
+		return
+	}
+	l.expires = s.w.Now.Add(l.ttl)
+	answer(200, encode(protocol.LeaseAnswer{Lease: id}))
+}
+
+// txn carries a transaction out if it keeps within the limits and its conditions hold.
 func (s *stateService) txn(body []byte, answer func(int, []byte)) {
 	var t protocol.Txn
 	decode(body, &t)
@@ -242,22 +272,15 @@
 		return
 	}
 	s.changed += len(t.Then)
-	beyond := func(format string, args ...any) {
+	if beyond := s.beyondLimits(&t, len(body)); beyond != "" {
 		s.tooLarge++
 		if s.limits == s.w.shape.State || s.tooLarge > 20 { // they were lowered without notice
-			s.w.rules.violated("limits", format, args...)
+			s.w.rules.violated("limits", "%s", beyond)
 		}
 		answer(400, nil)
-	}
-	if len(t.Then) > s.limits.TxnOps || len(t.If) > 4*s.limits.TxnOps || len(body) > protocol.MaxBody {
-		beyond("transaction of %d operations, %d conditions, %d bytes", len(t.Then), len(t.If), len(body))
 		return
 	}
 	for _, c := range t.Then {
-		if float64(len(c.Value)) > s.limits.ValueKB*1024 {
-			beyond("value of %d bytes under %s", len(c.Value), c.Set)
-			return
-		}
 		if c.Lease != 0 && s.leases[c.Lease] == nil {
 			answer(400, encode(protocol.ErrorBody{Error: "no such lease"}))
 			return
@@ -273,10 +296,31 @@
 		answer(409, encode(protocol.TxnAnswer{Revision: s.revision, Failed: failed}))
 		return
 	}
-	if len(t.Then) > 0 {
-		s.revision++
+	s.apply(t.Then)
+	s.w.rules.checkStaged(t.Then)
+	answer(200, encode(protocol.TxnAnswer{Revision: s.revision}))
+	s.notify()
+}
+
+// beyondLimits says in which way a transaction is too large, "" if it is not.
+func (s *stateService) beyondLimits(t *protocol.Txn, size int) string {
+	if len(t.Then) > s.limits.TxnOps || len(t.If) > 4*s.limits.TxnOps || size > protocol.MaxBody {
+		return fmt.Sprintf("transaction of %d operations, %d conditions, %d bytes", len(t.Then), len(t.If), size)
 	}
 	for _, c := range t.Then {
+		if float64(len(c.Value)) > s.limits.ValueKB*1024 {
+			return fmt.Sprintf("value of %d bytes under %s", len(c.Value), c.Set)
+		}
+	}
+	return ""
+}
+
+// apply makes the changes of a transaction, under one revision.
+func (s *stateService) apply(changes []protocol.Change) {
+	if len(changes) > 0 {
+		s.revision++
+	}
+	for _, c := range changes {
 		if c.Set == "" {
 			s.remove(c.Delete)
 			continue
@@ -284,9 +328,6 @@
 		s.keys[c.Set] = protocol.Entry{Key: c.Set, Value: c.Value, Revision: s.revision, Lease: c.Lease}
 		s.changes = append(s.changes, change{c.Set, protocol.WatchEvent{Set: c.Set, Value: c.Value, Revision: s.revision}})
 	}
-	s.w.rules.checkStaged(t.Then)
-	answer(200, encode(protocol.TxnAnswer{Revision: s.revision}))
-	s.notify()
 }
 
 func (s *stateService) notify() {
--- a/internal/simulation/worker.go
+++ b/internal/simulation/worker.go
@@ -132,42 +132,52 @@
 			panic(err)
 		}
 		c.ask(func(id uint64) coordination.Event { return coordination.WorkerReport{ID: id, Report: r} }, answer)
-	}, func(status int, body []byte) {
-		if k.dead {
+	}, func(status int, body []byte) { k.reportAnswered(status, body, sent, session) })
+}
+
+// reportAnswered takes the answer to a report.
+func (k *worker) reportAnswered(status int, body []byte, sent time.Time, session uint64) {
+	if k.dead {
+		return
+	}
+	switch status {
+	case 200:
+		k.inFlight = false
+		if k.w.Now.Sub(sent) > 4*time.Second || k.hung {
 			return
 		}
-		next := func() {
-			k.node = (k.node + 1) % len(w.nodes)
-			w.after(time.Second, func() { k.inFlight, k.changed = false, true })
+		var a protocol.ReportAnswer
+		decode(body, &a)
+		if k.session != session || !k.accept(a.Token) {
+			return
 		}
-		switch status {
-		case 200:
-			k.inFlight = false
-			if w.Now.Sub(sent) > 4*time.Second || k.hung {
-				return
-			}
-			var a protocol.ReportAnswer
-			decode(body, &a)
-			if k.session != session || !k.accept(a.Token) {
-				return
-			}
-			k.answered = sent
-			k.execute(a.Commands)
-		case 421:
-			var r protocol.Redirect
-			decode(body, &r)
-			for i, o := range w.nodes {
-				if o.name == r.ReportTo && i != k.node {
-					k.node = i
-					w.after(w.between(0, 500*time.Millisecond), func() { k.inFlight, k.changed = false, true })
-					return
-				}
-			}
-			next()
-		default:
-			next()
+		k.answered = sent
+		k.execute(a.Commands)
+	case 421:
+		k.redirected(body)
+	default:
+		k.tryNext()
+	}
+}
+
+// redirected goes to the node that an answer names, or to the next one.
+func (k *worker) redirected(body []byte) {
+	var r protocol.Redirect
+	decode(body, &r)
+	for i, o := range k.w.nodes {
+		if o.name == r.ReportTo && i != k.node {
+			k.node = i
+			k.w.after(k.w.between(0, 500*time.Millisecond), func() { k.inFlight, k.changed = false, true })
+			return
 		}
-	})
+	}
+	k.tryNext()
+}
+
+// tryNext reports to the next node a second later.
+func (k *worker) tryNext() {
+	k.node = (k.node + 1) % len(k.w.nodes)
+	k.w.after(time.Second, func() { k.inFlight, k.changed = false, true })
 }
 
 // copyReport delivers a late duplicate of an old report to a controller; nobody reads the
