--- a/internal/coordination/fleet_size_test.go
+++ b/internal/coordination/fleet_size_test.go
@@ -140,10 +140,10 @@
 	}
 }
 
-// TestStandstill: a leader that was paused for seconds, its clocks running on,
+// TestProcessPause: a leader that was paused for seconds, its clocks running on,
 // answers no report, sends no order and writes nothing before its leader lease was
-// renewed; one whose claim must have lapsed meanwhile leads no more.
-func TestStandstill(t *testing.T) {
+// renewed; one whose leader lease must have lapsed meanwhile leads no more.
+func TestProcessPause(t *testing.T) {
 	l := testLeader(time.Unix(1_800_000_000, 0))
 	n := l.n
 	m := l.testMachine("i-1", "big", "a", false)
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -45,7 +45,7 @@
 
 	spotNotice bool // the cloud takes the machine away soon
 
-	queuedDirect  bool // in the leader's list of hurried machines
+	queuedDirect  bool // in the leader's list of machines with orders to send
 	orderInFlight bool // a direct order is under way
 	directAt      time.Time
 	lastAnswered  bool // its last report was answered
--- a/internal/coordination/report_routing.go
+++ b/internal/coordination/report_routing.go
@@ -209,7 +209,7 @@
 	}
 }
 
-// takeReport is the leader's answer to a report, carried or not.
+// takeReport is the leader's answer to a report, forwarded or not.
 func (n *Node) takeReport(r *protocol.Report) (status int, body any) {
 	if n.lead == nil || !n.hasAuthority() {
 		return 421, protocol.Redirect{}
--- a/internal/coordination/reports.go
+++ b/internal/coordination/reports.go
@@ -173,7 +173,7 @@
 	l.dropAttempt(c)
 }
 
-// exited judges a copy's end.
+// exited decides what follows from the end of an attempt.
 func (l *leader) exited(m *machine, c *taskAttempt, t protocol.TaskReport) {
 	j := c.j
 	l.n.log.Debug("task exited", "job", j.id, "task", c.key.index, "attempt", c.key.attempt, "machine", m.id, "cause", t.Cause, "saved", t.Saved)
--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -55,7 +55,7 @@
 }
 
 // answer gives a reply to whoever asked: a connection of this node, or a
-// peer that carried the request here.
+// peer that forwarded the request here.
 func (n *Node) answer(r Reply) {
 	if from, ok := n.received[r.ID]; ok {
 		delete(n.received, r.ID)
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -50,7 +50,7 @@
 // PeerAnswer carries the answer back.
 type PeerAnswer struct {
 	ID     uint64
-	Target string // the node that carried the request first
+	Target string // the node that forwarded the request first
 	Hops   uint64
 	Status uint64
 	Body   []byte
--- a/internal/simulation/confirmed_cancels_test.go
+++ b/internal/simulation/confirmed_cancels_test.go
@@ -78,7 +78,7 @@
 		if refused {
 			w.state.refuse(c, 100*time.Second)
 			w.state.blind = c
-			// The word of the cancellation is lost: only the vouching names it.
+			// The message about the cancellation is lost: only the confirmation names it.
 			w.interrupt(1500*time.Millisecond, false, func(a, b string) bool { return a == c.name && b != "state" && w.workers[b] == nil })
 			w.Run(200 * time.Millisecond)
 		}
--- a/internal/simulation/fault_combinations_test.go
+++ b/internal/simulation/fault_combinations_test.go
@@ -269,7 +269,7 @@
 	}, most: 10},
 }
 
-// TestFaultCombinations plays every meeting of faults on a few seeds, over work of every
+// TestFaultCombinations plays every combination of faults on a few seeds, over work of every
 // shape, with reports going to the leader and by way of the other controllers. All
 // rules are checked at every step, and once the faults are over that no job is
 // forgotten, none waits beside room for it and all end.
--- a/internal/simulation/scenario_test.go
+++ b/internal/simulation/scenario_test.go
@@ -82,7 +82,7 @@
 }
 
 // TestReturnsAtOnce: a process that is back within a fraction of a second
-// replaces its predecessor's claim without waiting for it to lapse.
+// replaces its predecessor's leader lease without waiting for it to lapse.
 func TestReturnsAtOnce(t *testing.T) {
 	w := New(2, logs())
 	w.Run(5 * time.Second)
--- a/internal/tuning/leadership.go
+++ b/internal/tuning/leadership.go
@@ -11,10 +11,11 @@
 	// gone unanswered for two intervals; long enough for two lost renewals.
 	LeaderLeaseTTL = 3 * time.Second
 	// TakeoverWork is about what a takeover costs of a core: the records of some
-	// hundred jobs are read while all workers return. ClaimTTL is longer by the time
-	// that this takes, for no healthy leader to lose its leader lease over it,
+	// hundred jobs are read while all workers return. The leader lease lasts longer by
+	// the time that this takes on the node's share of a core, so that no healthy leader
+	// loses it over a takeover.
 	TakeoverWork = 60 * time.Millisecond
-	// but no more than this: so much later is a crashed leader replaced.
+	// TakeoverMost bounds that time: so much later is a crashed leader replaced.
 	TakeoverMost = 1500 * time.Millisecond
 	// LeaderLeaseRenew is how often the leader lease is renewed: three tries within the TTL.
 	LeaderLeaseRenew = 900 * time.Millisecond
--- a/internal/tuning/network.go
+++ b/internal/tuning/network.go
@@ -96,12 +96,15 @@
 	PeerWrite = 3 * time.Second
 	// PeerRead is how long a link may be silent: five beats.
 	PeerRead = 5 * time.Second
-	// BatchUrgent and BatchUsers bound one batch of the owner. Users' requests
-	// are fewer, so that reports never wait long behind them.
+	// BatchUrgent bounds the answers, peers' messages and reports in one batch of the
+	// owner.
 	BatchUrgent = 256
-	BatchUsers  = 32
-	// GCPercent and MemoryShare trade memory, of which there is enough, for
-	// processor time, of which there is little.
-	GCPercent   = 300
+	// BatchUsers bounds the users' requests in it: fewer, so that reports never wait
+	// long behind them.
+	BatchUsers = 32
+	// GCPercent is the garbage collector's target, in percent of what is in use: it
+	// trades memory, of which there is enough, for processor time.
+	GCPercent = 300
+	// MemoryShare is the part of the memory limit that the collector keeps within.
 	MemoryShare = 0.6
 )
--- a/internal/tuning/state_service.go
+++ b/internal/tuning/state_service.go
@@ -17,10 +17,11 @@
 	// RequestCost is about what a request to the state service costs of a core:
 	// a write, two or three reads, waking up twice, and the code.
 	RequestCost = 250 * time.Microsecond
-	// WatchShare and PollShare are the parts of the processor time that watches and
-	// the checks of polls may take: on a small share of a core their pauses grow.
+	// WatchShare is the part of the processor time that watches may take: on a small
+	// share of a core their pauses grow.
 	WatchShare = 0.05
-	PollShare  = 0.05
+	// PollShare is the same for the checks of polls.
+	PollShare = 0.05
 	// RequestPause is the longest that such a pause grows: jobs start, and users
 	// are answered, so much later.
 	RequestPause = 250 * time.Millisecond
@@ -42,7 +43,7 @@
 	// equal parts at every node.
 	UserShare = 0.2
 	// RelayShare is the part for relayed messages: in a cut, each of hundreds of workers must
-	// have a report carried within its lease, and the answer back.
+	// have a report forwarded within its lease, and the answer back.
 	RelayShare = 0.2
 	// UserFloor is the part of the burst that the leader's decisions leave to
 	// users and relayed messages, whose writes it sees only when they are done.
--- a/internal/tuning/workers.go
+++ b/internal/tuning/workers.go
@@ -48,7 +48,7 @@
 	// zone to be heard all the same: reports jitter by a quarter.
 	HeardSilentShare = 0.25
 	// RedirectMemory is how long a follower remembers that it redirected a worker;
-	// one that comes back within it could not reach the leader and is carried.
+	// one that comes back within it could not reach the leader, and its reports are forwarded.
 	RedirectMemory = time.Minute
 	// ForwardTimeout bounds a forwarded report; the worker gives up after 4 s.
 	ForwardTimeout = 3 * time.Second
