--- a/internal/coordination/buddy.go
+++ b/internal/buddy/buddy.go
@@ -1,26 +1,33 @@
-package coordination
+// Package buddy keeps the slots of one machine in blocks whose sizes are powers of two:
+// a block of order k has 2^k slots and starts at a multiple of 2^k. Splitting and
+// coalescing follow from the map of used slots, so the free set is always a disjoint
+// union of aligned blocks.
+package buddy
 
 import "math/bits"
 
-// buddy is the slot map of one machine. Blocks of order k are 2^k slots that
-// start at a multiple of 2^k; splitting and coalescing follow from the map, so
-// the free set is always a disjoint union of aligned blocks.
-type buddy struct {
+// Map is the slot map of one machine.
+type Map struct {
 	used []bool
 	free int
 }
 
-func newBuddy(slots int) buddy { return buddy{used: make([]bool, slots), free: slots} }
+// New makes a map of free slots.
+func New(slots int) Map { return Map{used: make([]bool, slots), free: slots} }
 
-// order is the smallest k with 2^k >= n.
-func order(n int) int {
+// Free is the number of free slots.
+func (b *Map) Free() int { return b.free }
+
+// Order is the smallest k with 2^k >= n.
+func Order(n int) int {
 	if n <= 1 {
 		return 0
 	}
 	return bits.Len(uint(n - 1))
 }
 
-func (b *buddy) blockFree(start, size int) bool {
+// blockFree says whether all slots of a block are free.
+func (b *Map) blockFree(start, size int) bool {
 	if start+size > len(b.used) {
 		return false
 	}
@@ -32,8 +39,8 @@
 	return true
 }
 
-// aligned counts the free aligned blocks of an order.
-func (b *buddy) aligned(k int) int {
+// Aligned counts the free aligned blocks of an order.
+func (b *Map) Aligned(k int) int {
 	count := 0
 	for size, start := 1<<k, 0; start+size <= len(b.used); start += size {
 		if b.blockFree(start, size) {
@@ -43,12 +50,12 @@
 	return count
 }
 
-// carve takes slots: an aligned block of order(n) split off the smallest free
+// Carve takes slots: an aligned block of Order(n) split off the smallest free
 // block that has one, or, when there is none, any free slots (the union of
 // smaller blocks). It may return fewer than n when the machine has no more:
 // slots only guide the placement, the resources bind it.
-func (b *buddy) carve(n int) []int {
-	k := order(n)
+func (b *Map) Carve(n int) []int {
+	k := Order(n)
 	best, bestOrder := -1, 0
 	for start := 0; start+1<<k <= len(b.used); start += 1 << k {
 		if !b.blockFree(start, 1<<k) {
@@ -85,8 +92,8 @@
 	return taken
 }
 
-// release gives slots back.
-func (b *buddy) release(slots []int) {
+// Release gives slots back.
+func (b *Map) Release(slots []int) {
 	for _, i := range slots {
 		b.used[i] = false
 	}
--- a/internal/coordination/buddy_test.go
+++ b/internal/buddy/buddy_test.go
@@ -1,4 +1,4 @@
-package coordination
+package buddy
 
 import (
 	"math/rand/v2"
@@ -82,22 +82,22 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	for range 300 {
 		n := 1 + rng.IntN(20)
-		b, m := newBuddy(n), newBuddyModel(n)
+		b, m := New(n), newBuddyModel(n)
 		var held [][]int
 		for range 60 {
 			if len(held) > 0 && rng.IntN(2) == 0 {
 				i := rng.IntN(len(held))
-				b.release(held[i])
+				b.Release(held[i])
 				for _, s := range held[i] {
 					m.release(s)
 				}
 				held = append(held[:i], held[i+1:]...)
 			} else {
 				size := 1 + rng.IntN(5)
-				k := order(size)
+				k := Order(size)
 				from := m.smallest(k)
 				free := b.free
-				got := b.carve(size)
+				got := b.Carve(size)
 				if want := min(size, free); len(got) != want {
 					t.Fatalf("%d of %d slots for %d with %d free", len(got), n, size, free)
 				}
@@ -119,8 +119,8 @@
 				held = append(held, got)
 			}
 			for k := range 5 {
-				if b.aligned(k) != m.aligned(k) {
-					t.Fatalf("%d slots, order %d: %d blocks, the model has %d", n, k, b.aligned(k), m.aligned(k))
+				if b.Aligned(k) != m.aligned(k) {
+					t.Fatalf("%d slots, order %d: %d blocks, the model has %d", n, k, b.Aligned(k), m.aligned(k))
 				}
 			}
 		}
--- a/internal/coordination/attempts.go
+++ b/internal/coordination/attempts.go
@@ -9,7 +9,7 @@
 // addAttempt enters a copy into every account.
 func (l *leader) addAttempt(j *job, index int, attempt uint64, m *machine, session uint64) *taskAttempt {
 	c := &taskAttempt{j: j, key: attemptKey{index, attempt, m.id}, m: m, session: session, since: l.n.now}
-	c.slots = m.slots.carve(taskSlots(j.spec))
+	c.slots = m.slots.Carve(taskSlots(j.spec))
 	j.attempts[c.key] = c
 	j.tasks[index].liveAttempts++
 	m.attempts[taskKey{j.id, index, attempt}] = c
@@ -30,7 +30,7 @@
 	l.n.log.Debug("task gone", "job", j.id, "task", c.key.index, "attempt", c.key.attempt, "machine", m.id, "state", c.state)
 	delete(j.attempts, c.key)
 	delete(m.attempts, taskKey{j.id, c.key.index, c.key.attempt})
-	m.slots.release(c.slots)
+	m.slots.Release(c.slots)
 	m.take(j.spec, -1)
 	if len(m.attempts) == 0 {
 		m.idleSince = l.n.now
--- a/internal/coordination/machine.go
+++ b/internal/coordination/machine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/gappond/gappond/internal/buddy"
 	"github.com/gappond/gappond/internal/protocol"
 )
 
@@ -18,7 +19,7 @@
 type machine struct {
 	id, address, typeName, zone string
 	spot                        bool
-	slots                       buddy
+	slots                       buddy.Map
 	kind                        *protocol.MachineType // nil until it is known, and the slots with it
 	cpus, gpus, memory          float64               // in use
 
@@ -75,7 +76,7 @@
 	m := l.machines[id]
 	if m == nil {
 		m = &machine{id: id, attempts: map[taskKey]*taskAttempt{}, pins: map[taskKey]bool{}, failed: map[string]bool{},
-			idleSince: l.n.now, born: l.n.now, slots: newBuddy(0)}
+			idleSince: l.n.now, born: l.n.now, slots: buddy.New(0)}
 		l.machines[id] = m
 		at, _ := slices.BinarySearchFunc(l.roster, m, byName)
 		l.roster = slices.Insert(slices.Clone(l.roster), at, m)
@@ -112,9 +113,9 @@
 		if m.kind = l.n.types[m.typeName]; m.kind == nil {
 			return nil
 		}
-		m.slots = newBuddy(machineSlots(m.kind))
+		m.slots = buddy.New(machineSlots(m.kind))
 		for _, c := range sortedAttempts(m) {
-			c.slots = m.slots.carve(taskSlots(c.j.spec))
+			c.slots = m.slots.Carve(taskSlots(c.j.spec))
 		}
 	}
 	return m.kind
--- a/internal/coordination/machine_types.go
+++ b/internal/coordination/machine_types.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"reflect"
 	"slices"
 	"time"
 
@@ -67,6 +66,7 @@
 
 // sameType compares what does not move with the market.
 func sameType(a, b protocol.MachineType) bool {
-	a.SpotPrice = b.SpotPrice
-	return reflect.DeepEqual(a, b)
+	return a.Name == b.Name && a.CPUs == b.CPUs && a.GPUs == b.GPUs && a.MemoryGB == b.MemoryGB &&
+		a.CacheGB == b.CacheGB && a.FetchGBPerS == b.FetchGBPerS && a.Price == b.Price && a.BootS == b.BootS &&
+		slices.Equal(a.Zones, b.Zones)
 }
--- a/internal/coordination/placement.go
+++ b/internal/coordination/placement.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/gappond/gappond/internal/buddy"
 )
 
 // Placement is HDF-B: a gang goes whole into the smallest domain (a machine,
@@ -19,11 +21,11 @@
 	var best []site
 	// The machine level: the whole gang on one machine.
 	if !j.spec.Spread || g == 1 {
-		k := order(g * taskSlots(j.spec))
+		k := buddy.Order(g * taskSlots(j.spec))
 		for _, aligned := range []bool{true, false} {
 			var fit []site
 			for _, s := range l.sites(j, only) {
-				if s.count >= g && (!aligned || s.m.slots.aligned(k) > 0) {
+				if s.count >= g && (!aligned || s.m.slots.Aligned(k) > 0) {
 					fit = append(fit, s)
 				}
 			}
@@ -81,7 +83,7 @@
 		if fits < g {
 			continue
 		}
-		c := &choice{aligned: fits >= 1<<order(g), residual: fits - g}
+		c := &choice{aligned: fits >= 1<<buddy.Order(g), residual: fits - g}
 		c.sites = fill(list, g)
 		for _, s := range c.sites {
 			if s.cached {
--- a/internal/coordination/sites.go
+++ b/internal/coordination/sites.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		if n := l.freeResources(m).fit(j.spec, len(j.tasks)); n > 0 {
-			list = append(list, site{m: m, count: n, residual: m.slots.free, suspect: len(m.failed) > 0, survivor: j.survivors[m.id], cached: m.hasImage(j.spec.Image), price: l.price(m)})
+			list = append(list, site{m: m, count: n, residual: m.slots.Free(), suspect: len(m.failed) > 0, survivor: j.survivors[m.id], cached: m.hasImage(j.spec.Image), price: l.price(m)})
 		}
 	}
 	return list
--- a/internal/simulation/upgrade_test.go
+++ b/internal/simulation/upgrade_test.go
@@ -30,14 +30,14 @@
 	}
 }
 
-// TestUpgrade: version 0.2 serves, with records that the lowered limits do
+// TestUpgrade: version 0.2, 0.3 or both serve, with records that the lowered limits do
 // not allow; the controllers are replaced while faults go on, the limits are
 // lowered, and every rule holds; nothing is lost and all is served. The leader may
 // be any of both versions at any time.
 func TestUpgrade(t *testing.T) {
-	days := 24
+	days := 36
 	if testing.Short() {
-		days = 6
+		days = 9
 	}
 	for seed := range days {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -48,8 +48,9 @@
 			}
 			shape.Capacity = 30
 			w := NewShaped(uint64(900+seed), logs(), shape)
-			for _, c := range w.nodes {
-				w.release[c.name] = release02
+			for i, c := range w.nodes {
+				// From 0.2, from 0.3, or from both.
+				w.release[c.name] = []release{release02, release03, []release{release02, release03}[(i+seed)%2]}[seed%3]
 				c.crash(time.Millisecond)
 			}
 			w.load(12, 100*time.Second)
