--- /dev/null
+++ b/internal/coordination/zone_reserve_test.go
@@ -0,0 +1,111 @@
+package coordination
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/protocol"
+)
+
+// serviceOf is a service of some replicas, each of which takes processors alone.
+func serviceOf(replicas int, cpus float64) protocol.Job {
+	return protocol.Job{Class: "s", Team: "free", Shape: protocol.ShapeService, Priority: "critical", Tasks: replicas,
+		CPUs: cpus, MemoryGB: 4, Image: "img", ImageGB: 1}
+}
+
+// TestZoneReserve: what the replicas of a zone need elsewhere is rented only as far as
+// their limits allow them there and neither free room, nor room that work of lower
+// priority leaves at once, nor an idle machine is there; the idle machine is kept.
+func TestZoneReserve(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		job    func(s *protocol.Job)
+		other  func(l *leader, m *machine) // what the machine in the other zone carries
+		idle   bool                        // there is such a machine at all
+		off    bool
+		rented int
+		kept   bool
+	}{
+		{name: "nothing elsewhere", rented: 1},
+		{name: "an idle machine", idle: true, kept: true},
+		{name: "bound to its zone", job: func(s *protocol.Job) { s.Zone = "a" }},
+		{name: "spread over the zones, half may go there", job: func(s *protocol.Job) { s.Spread = true }, rented: 1},
+		{name: "a machine full of work that yields", idle: true, other: func(l *leader, m *machine) { l.fillWith(m, "idle", protocol.ShapeArray) }},
+		{name: "a machine full of work of the same priority", idle: true, other: func(l *leader, m *machine) { l.fillWith(m, "critical", protocol.ShapeArray) }, rented: 1},
+		{name: "a machine full of a gang", idle: true, other: func(l *leader, m *machine) { l.fillWith(m, "idle", protocol.ShapeGang) }, rented: 1},
+		{name: "turned off", off: true},
+	} {
+		l := testLeader(time.Unix(1_800_000_000, 0))
+		l.n.cfg.Operator.ZoneReserve = !c.off
+		l.n.cfg.Cluster.Zones = []string{"a", "b"}
+		m := l.testMachine("i-1", "big", "a", false)
+		s := serviceOf(4, 4)
+		if c.job != nil {
+			c.job(&s)
+		}
+		j := l.testJob(s)
+		for i := range j.tasks {
+			l.assign(j, i, 1, m)
+		}
+		var other *machine
+		if c.idle {
+			other = l.testMachine("i-2", "big", "b", false)
+			if c.other != nil {
+				c.other(l, other)
+			}
+		}
+		l.fleet.load = map[string]int{}
+		want := map[offer]int{}
+		l.planReserve(want)
+		rented := 0
+		for o, n := range want {
+			rented += n
+			if o.zone != "b" {
+				t.Errorf("%s: rented in %s", c.name, o.zone)
+			}
+		}
+		if rented != c.rented || other != nil && l.fleet.reserve[other] != c.kept {
+			t.Errorf("%s: %d rented, kept %v", c.name, rented, l.fleet.reserve[other])
+		}
+		if c.kept {
+			l.n.now = l.n.now.Add(l.n.cfg.Operator.IdleReturn + time.Second)
+			other.lastReport = l.n.now
+			l.considerReturn(other, map[string]int{})
+			if other.deleting {
+				t.Errorf("%s: the machine is returned", c.name)
+			}
+		}
+	}
+}
+
+// fillWith puts tasks that take all of a machine's processors onto it.
+func (l *leader) fillWith(m *machine, priority string, shape protocol.Shape) {
+	j := l.testJob(protocol.Job{Class: "c", Team: "free", Shape: shape, Priority: priority, Tasks: 8, CPUs: 4, MemoryGB: 4, Image: "other", ImageGB: 1})
+	for i := range j.tasks {
+		l.assign(j, i, 1, m)
+	}
+}
+
+// TestReplicasLeaveLostZone: a replica is not placed on a machine whose report is late,
+// nor, if there is another place, in a zone that a machine was just lost in: the rest of
+// the zone may be lost too and only not missed yet.
+func TestReplicasLeaveLostZone(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	late, same, far := l.testMachine("i-1", "big", "a", false), l.testMachine("i-2", "big", "a", false), l.testMachine("i-3", "big", "b", false)
+	l.n.now = l.n.now.Add(l.replicaSilence() + time.Second)
+	same.lastReport, far.lastReport = l.n.now, l.n.now
+	same.answered, far.answered, late.answered = l.n.now, l.n.now, l.n.now
+	j := l.testJob(serviceOf(1, 4))
+	if list := l.replicaSites(j, ""); len(list) != 2 {
+		t.Errorf("%d sites", len(list))
+	}
+	l.deleteSilent(late, "silent")
+	if l.placeService(j) != 0 || j.tasks[0].active.m != far {
+		t.Errorf("placed on %v", j.tasks[0].active)
+	}
+	l.dropAttempt(j.tasks[0].active)
+	far.cordoned = true
+	if l.placeService(j) != 0 || j.tasks[0].active.m != same {
+		t.Error("no place though there is one")
+	}
+}
--- a/internal/simulation/replica_loss_test.go
+++ b/internal/simulation/replica_loss_test.go
@@ -200,3 +200,52 @@
 	}
 	t.Logf("%d replicas", lost)
 }
+
+// TestServiceStartByStage measures where the time goes from a service's submission until
+// its replicas run, on machines that are up and do not have its image.
+func TestServiceStartByStage(t *testing.T) {
+	shape := grown()
+	shape.Machines, shape.Capacity = 30, 60
+	shape.Resources = config.Resources{}
+	var sum [stages]time.Duration
+	total := 0
+	for seed := range uint64(12) {
+		s := &stageLog{ends: map[string][stages]time.Time{}, lost: map[string]string{}}
+		w := NewShaped(750+seed, s, shape)
+		w.Run(8 * time.Second)
+		s.w = w
+		j := service("run-000000", 6)
+		j.Team = shape.Teams[0].Name
+		at := w.Now
+		w.submit(0, j, 0, 0, false)
+		for i := range j.Tasks {
+			s.lost[protocol.TaskName(j.ID, i)] = ""
+		}
+		for range 800 {
+			w.Run(10 * time.Millisecond)
+			s.look()
+		}
+		for task := range s.lost {
+			ends := s.ends[task]
+			if ends[image].IsZero() {
+				t.Errorf("seed %d: %s does not run", seed, task)
+				continue
+			}
+			total++
+			from := at
+			for x := placement; x < stages; x++ {
+				sum[x] += ends[x].Sub(from)
+				from = ends[x]
+			}
+		}
+		w.check(t)
+	}
+	limits := [stages]time.Duration{placement: 300 * time.Millisecond, commitment: 200 * time.Millisecond, command: 100 * time.Millisecond, image: 3 * time.Second}
+	for x := placement; x < stages; x++ {
+		mean := sum[x] / time.Duration(max(1, total))
+		t.Logf("%-10s %v", stageNames[x], mean.Round(time.Millisecond))
+		if mean > limits[x] {
+			t.Errorf("%s takes %v", stageNames[x], mean)
+		}
+	}
+}
