--- a/internal/simulation/downtime_test.go
+++ b/internal/simulation/downtime_test.go
@@ -82,115 +82,133 @@
 	})
 }
 
+// backAfter is how long a controller that is replaced is away.
+const backAfter = 4 * time.Second
+
+// replacement is an order in which the controllers are replaced by the new version.
+type replacement struct {
+	replace func(w *World, one func(c *controller))
+	away    time.Duration // how long no controller may be up
+}
+
+var replacements = map[string]replacement{
+	"one after the other": {func(w *World, one func(c *controller)) {
+		for i, c := range w.nodes {
+			w.after(time.Duration(i)*10*time.Second, func() { one(c) })
+		}
+	}, 0},
+	"two at once": {func(w *World, one func(c *controller)) {
+		one(w.nodes[0])
+		one(w.nodes[1])
+		w.after(10*time.Second, func() { one(w.nodes[2]) })
+	}, 0},
+	"all at once": {func(w *World, one func(c *controller)) {
+		for _, c := range w.nodes {
+			one(c)
+		}
+	}, backAfter},
+	"the leader first": {func(w *World, one func(c *controller)) {
+		first := w.leader()
+		one(first)
+		i := 1
+		for _, c := range w.nodes {
+			if c != first {
+				w.after(time.Duration(i)*8*time.Second, func() { one(c) })
+				i++
+			}
+		}
+	}, 0},
+	"the leader last, again and again": {func(w *World, one func(c *controller)) {
+		last := w.leader()
+		for _, c := range w.nodes {
+			if c != last {
+				one(c)
+			}
+		}
+		w.after(8*time.Second, func() { one(last) })
+		w.after(16*time.Second, func() { one(w.leader()) })
+	}, 0},
+	"each dies once more on its way": {func(w *World, one func(c *controller)) {
+		for i, c := range w.nodes {
+			w.after(time.Duration(i)*9*time.Second, func() { c.crash(300 * time.Millisecond) })
+			w.after(time.Duration(i)*9*time.Second+2*time.Second, func() { one(c) })
+		}
+	}, 0},
+}
+
 // TestNoDowntime: while the controllers are replaced by the new version, in any order
 // and from either earlier version, every user's request gets an answer, and one is
 // served again soon after one is up; no worker's lease lapses; tokens only rise; and
 // nothing that runs stops, no replica and no gang.
 func TestNoDowntime(t *testing.T) {
-	back := 4 * time.Second
-	orders := map[string]struct {
-		replace func(w *World, one func(c *controller))
-		away    time.Duration // how long no controller may be up
-	}{
-		"one after the other": {func(w *World, one func(c *controller)) {
-			for i, c := range w.nodes {
-				w.after(time.Duration(i)*10*time.Second, func() { one(c) })
-			}
-		}, 0},
-		"two at once": {func(w *World, one func(c *controller)) {
-			one(w.nodes[0])
-			one(w.nodes[1])
-			w.after(10*time.Second, func() { one(w.nodes[2]) })
-		}, 0},
-		"all at once": {func(w *World, one func(c *controller)) {
-			for _, c := range w.nodes {
-				one(c)
-			}
-		}, back},
-		"the leader first": {func(w *World, one func(c *controller)) {
-			first := w.leader()
-			one(first)
-			i := 1
-			for _, c := range w.nodes {
-				if c != first {
-					w.after(time.Duration(i)*8*time.Second, func() { one(c) })
-					i++
-				}
-			}
-		}, 0},
-		"the leader last, again and again": {func(w *World, one func(c *controller)) {
-			last := w.leader()
-			for _, c := range w.nodes {
-				if c != last {
-					one(c)
-				}
-			}
-			w.after(8*time.Second, func() { one(last) })
-			w.after(16*time.Second, func() { one(w.leader()) })
-		}, 0},
-		"each dies once more on its way": {func(w *World, one func(c *controller)) {
-			for i, c := range w.nodes {
-				w.after(time.Duration(i)*9*time.Second, func() { c.crash(300 * time.Millisecond) })
-				w.after(time.Duration(i)*9*time.Second+2*time.Second, func() { one(c) })
-			}
-		}, 0},
-	}
-	for name, order := range orders {
+	for name, order := range replacements {
 		for from, label := range map[release]string{release02: "0.2", release03: "0.3", current: "itself"} {
 			t.Run(name+" from "+label, func(t *testing.T) {
 				t.Parallel()
-				shape := lowered(Small(), 15, 4)
-				shape.Capacity = 20
-				w := NewShaped(500, logs(), shape)
-				for i, c := range w.nodes {
-					w.release[c.name] = from
-					if i == 2 && from == release02 {
-						w.release[c.name] = release03 // both earlier versions at once
-					}
-					c.crash(time.Millisecond)
-				}
-				w.Run(5 * time.Second)
-				g := gangJob("run-000001", 4)
-				g.OneZone = true
-				gang := w.submit(0, g, 300, 0, false)
-				services := []*user{w.submit(0, service("run-000002", 4), 0, 0, false), w.submit(0, service("run-000003", 3), 0, 0, false)}
-				w.waitFor(t, 40*time.Second, "all runs", func() bool { return w.running(gang) && w.running(services[0]) && w.running(services[1]) })
-				w.Run(10 * time.Second)
-				starts := map[string]int{}
-				for _, u := range append(services, gang) {
-					u.up, u.away = 0, 0
-					starts[u.j.spec.ID] = sum(u.j.starts)
-				}
-				d := w.watchDowntime("run-000001", 50*time.Second)
-				order.replace(w, func(c *controller) {
-					w.release[c.name] = current
-					c.crash(back)
-				})
-				w.Run(55 * time.Second)
-				t.Logf("%d requests, %d refused, served again within %v", d.asked, d.refused, d.longest)
-				if d.asked < 500 || d.unanswered > 0 {
-					t.Errorf("%d of %d requests are not answered", d.unanswered, d.asked)
-				}
-				if limit := order.away + tuning.LeaderLeaseTTL + 3*time.Second; d.longest > limit {
-					t.Errorf("nothing is served for %v", d.longest)
-				}
-				if d.lapses > 0 {
-					t.Errorf("%d leases lapsed", d.lapses)
-				}
-				if w.rules.lowerTokens > 0 {
-					t.Errorf("%d times a worker was shown a lower token", w.rules.lowerTokens)
-				}
-				for _, u := range append(services, gang) {
-					if again := sum(u.j.starts) - starts[u.j.spec.ID]; again > 0 || u.away > 0 || !w.running(u) {
-						t.Errorf("%s: %d tasks are started again, %v are not served", u.j.spec.ID, again, u.away)
-					}
-				}
-				w.check(t)
+				order.play(t, from)
 			})
 		}
 	}
 }
 
+// play replaces the controllers of one release and counts what is noticed.
+func (order replacement) play(t *testing.T, from release) {
+	shape := lowered(Small(), 15, 4)
+	shape.Capacity = 20
+	w := NewShaped(500, logs(), shape)
+	for i, c := range w.nodes {
+		w.release[c.name] = from
+		if i == 2 && from == release02 {
+			w.release[c.name] = release03 // both earlier versions at once
+		}
+		c.crash(time.Millisecond)
+	}
+	w.Run(5 * time.Second)
+	g := gangJob("run-000001", 4)
+	g.OneZone = true
+	gang := w.submit(0, g, 300, 0, false)
+	services := []*user{w.submit(0, service("run-000002", 4), 0, 0, false), w.submit(0, service("run-000003", 3), 0, 0, false)}
+	w.waitFor(t, 40*time.Second, "all runs", func() bool { return w.running(gang) && w.running(services[0]) && w.running(services[1]) })
+	w.Run(10 * time.Second)
+	starts := map[string]int{}
+	for _, u := range append(services, gang) {
+		u.up, u.away = 0, 0
+		starts[u.j.spec.ID] = sum(u.j.starts)
+	}
+	d := w.watchDowntime("run-000001", 50*time.Second)
+	order.replace(w, func(c *controller) {
+		w.release[c.name] = current
+		c.crash(backAfter)
+	})
+	w.Run(55 * time.Second)
+	d.check(t, order.away)
+	for _, u := range append(services, gang) {
+		if again := sum(u.j.starts) - starts[u.j.spec.ID]; again > 0 || u.away > 0 || !w.running(u) {
+			t.Errorf("%s: %d tasks are started again, %v are not served", u.j.spec.ID, again, u.away)
+		}
+	}
+	w.check(t)
+}
+
+// check reports what must not be noticed: requests without an answer, a time without
+// service beyond that in which no controller is up, lapsed leases and lower tokens.
+func (d *downtime) check(t *testing.T, away time.Duration) {
+	t.Helper()
+	t.Logf("%d requests, %d refused, served again within %v", d.asked, d.refused, d.longest)
+	if d.asked < 500 || d.unanswered > 0 {
+		t.Errorf("%d of %d requests are not answered", d.unanswered, d.asked)
+	}
+	if limit := away + tuning.LeaderLeaseTTL + 3*time.Second; d.longest > limit {
+		t.Errorf("nothing is served for %v", d.longest)
+	}
+	if d.lapses > 0 {
+		t.Errorf("%d leases lapsed", d.lapses)
+	}
+	if d.w.rules.lowerTokens > 0 {
+		t.Errorf("%d times a worker was shown a lower token", d.w.rules.lowerTokens)
+	}
+}
+
 // sum adds up the starts of a job's tasks.
 func sum(starts map[int]int) (n int) {
 	for _, s := range starts {
--- a/internal/simulation/replica_loss_test.go
+++ b/internal/simulation/replica_loss_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -104,9 +105,9 @@
 	}
 }
 
-// replicaLoss plays a loss of machines and returns the mean of each stage over the
-// replicas that were on them and run again, and how many do not.
-func replicaLoss(t *testing.T, seed uint64, shape Shape, lose func(w *World, id string) []string) (mean [stages]time.Duration, again, missing int) {
+// replicaLoss lets the machine of a replica die and returns the mean of each stage over
+// the replicas that were on it and run again, and how many do not.
+func replicaLoss(t *testing.T, seed uint64, shape Shape) (mean [stages]time.Duration, again, missing int) {
 	t.Helper()
 	s := &stageLog{ends: map[string][stages]time.Time{}, lost: map[string]string{}}
 	w := NewShaped(seed, s, shape)
@@ -118,39 +119,34 @@
 		users = append(users, w.submit(0, j, 0, 0, false))
 	}
 	w.waitFor(t, 60*time.Second, "all run", func() bool {
-		for _, u := range users {
-			if !w.running(u) {
-				return false
-			}
-		}
-		return true
+		return !slices.ContainsFunc(users, func(u *user) bool { return !w.running(u) })
 	})
 	w.Run(w.between(40*time.Second, 45*time.Second))
 	at := w.Now
-	victim := w.rules.onAt["run-000000/1"].k.h.ID
-	gone := map[string]bool{}
 	s.w = w
-	for _, id := range lose(w, victim) {
-		gone[id] = true
-	}
-	for _, u := range users {
-		for i := range u.j.spec.Tasks {
-			name := protocol.TaskName(u.j.spec.ID, i)
-			if t := w.rules.onAt[name]; t != nil && gone[t.k.h.ID] {
-				s.lost[name] = t.k.h.ID
-			}
-		}
-	}
-	for id := range gone {
-		if k := w.workers[id]; k != nil {
-			k.kill()
-			delete(w.workers, id)
-		}
-	}
+	s.lose(w.rules.onAt["run-000000/1"].k)
 	for range 3000 {
 		w.Run(10 * time.Millisecond)
 		s.look()
 	}
+	w.check(t)
+	return s.mean(at, detection)
+}
+
+// lose lets a machine die and notes the replicas that it had.
+func (s *stageLog) lose(k *worker) {
+	for name, t := range s.w.rules.onAt {
+		if t.k == k {
+			s.lost[name] = k.h.ID
+		}
+	}
+	k.kill()
+	delete(s.w.workers, k.h.ID)
+}
+
+// mean is the mean of each stage from the first one on, over the tasks that run, and
+// how many run and do not.
+func (s *stageLog) mean(at time.Time, first stage) (mean [stages]time.Duration, again, missing int) {
 	for task := range s.lost {
 		ends := s.ends[task]
 		if ends[image].IsZero() {
@@ -159,7 +155,7 @@
 		}
 		again++
 		from := at
-		for x := range stages {
+		for x := first; x < stages; x++ {
 			mean[x] += max(0, ends[x].Sub(from))
 			from = ends[x]
 		}
@@ -167,38 +163,50 @@
 	for x := range mean {
 		mean[x] /= time.Duration(max(1, again))
 	}
-	w.check(t)
 	return mean, again, missing
 }
 
+// stageSums adds up the means of several seeds.
+type stageSums struct {
+	sum   [stages]time.Duration
+	total int
+}
+
+func (s *stageSums) add(mean [stages]time.Duration, again int) {
+	for x := range mean {
+		s.sum[x] += mean[x] * time.Duration(again)
+	}
+	s.total += again
+}
+
+// check logs the mean of each stage from the first one on and keeps it within a limit.
+func (s *stageSums) check(t *testing.T, first stage, limits [stages]time.Duration) {
+	t.Helper()
+	for x := first; x < stages; x++ {
+		mean := s.sum[x] / time.Duration(max(1, s.total))
+		t.Logf("%-10s %v", stageNames[x], mean.Round(time.Millisecond))
+		if mean > limits[x] {
+			t.Errorf("%s takes %v", stageNames[x], mean)
+		}
+	}
+}
+
 // TestReplicaLossByStage measures where the time goes for which replicas of a lost
 // machine are away, and keeps each part within its bound.
 func TestReplicaLossByStage(t *testing.T) {
 	shape := grown()
 	shape.Machines, shape.Capacity = 12, 60
 	shape.Resources = config.Resources{}
-	var sum [stages]time.Duration
-	total, lost := 0, 0
+	var sums stageSums
 	for seed := range uint64(12) {
-		mean, again, missing := replicaLoss(t, 700+seed, shape, func(_ *World, id string) []string { return []string{id} })
+		mean, again, missing := replicaLoss(t, 700+seed, shape)
 		if missing > 0 {
 			t.Errorf("seed %d: %d replicas do not run again", seed, missing)
 		}
-		for x := range mean {
-			sum[x] += mean[x] * time.Duration(again)
-		}
-		total += again
-		lost += again + missing
-	}
-	limits := [stages]time.Duration{8 * time.Second, 1500 * time.Millisecond, time.Second, 500 * time.Millisecond, 200 * time.Millisecond, 5 * time.Second}
-	for x := range stages {
-		mean := sum[x] / time.Duration(max(1, total))
-		t.Logf("%-10s %v", stageNames[x], mean.Round(time.Millisecond))
-		if mean > limits[x] {
-			t.Errorf("%s takes %v", stageNames[x], mean)
-		}
+		sums.add(mean, again)
 	}
-	t.Logf("%d replicas", lost)
+	sums.check(t, detection, [stages]time.Duration{8 * time.Second, 1500 * time.Millisecond, time.Second, 500 * time.Millisecond, 200 * time.Millisecond, 5 * time.Second})
+	t.Logf("%d replicas", sums.total)
 }
 
 // TestServiceStartByStage measures where the time goes from a service's submission until
@@ -207,8 +215,7 @@
 	shape := grown()
 	shape.Machines, shape.Capacity = 30, 60
 	shape.Resources = config.Resources{}
-	var sum [stages]time.Duration
-	total := 0
+	var sums stageSums
 	for seed := range uint64(12) {
 		s := &stageLog{ends: map[string][stages]time.Time{}, lost: map[string]string{}}
 		w := NewShaped(750+seed, s, shape)
@@ -225,27 +232,12 @@
 			w.Run(10 * time.Millisecond)
 			s.look()
 		}
-		for task := range s.lost {
-			ends := s.ends[task]
-			if ends[image].IsZero() {
-				t.Errorf("seed %d: %s does not run", seed, task)
-				continue
-			}
-			total++
-			from := at
-			for x := placement; x < stages; x++ {
-				sum[x] += ends[x].Sub(from)
-				from = ends[x]
-			}
+		mean, again, missing := s.mean(at, placement)
+		if missing > 0 {
+			t.Errorf("seed %d: %d replicas do not run", seed, missing)
 		}
+		sums.add(mean, again)
 		w.check(t)
 	}
-	limits := [stages]time.Duration{placement: 300 * time.Millisecond, commitment: 200 * time.Millisecond, command: 100 * time.Millisecond, image: 3 * time.Second}
-	for x := placement; x < stages; x++ {
-		mean := sum[x] / time.Duration(max(1, total))
-		t.Logf("%-10s %v", stageNames[x], mean.Round(time.Millisecond))
-		if mean > limits[x] {
-			t.Errorf("%s takes %v", stageNames[x], mean)
-		}
-	}
+	sums.check(t, placement, [stages]time.Duration{placement: 300 * time.Millisecond, commitment: 200 * time.Millisecond, command: 100 * time.Millisecond, image: 3 * time.Second})
 }
--- a/internal/simulation/upgrade_test.go
+++ b/internal/simulation/upgrade_test.go
@@ -184,91 +184,101 @@
 	return j
 }
 
+// lowering is a way in which the limits fall while a release is upgraded.
+type lowering struct {
+	name string
+	from release
+	play func(w *World)
+}
+
+var lowerings = []lowering{
+	{"after the upgrade", release02, func(w *World) {
+		w.upgrade(8 * time.Second)
+		w.Run(40 * time.Second)
+		w.state.lower()
+	}},
+	{"after the upgrade, all records untouched", release03, func(w *World) {
+		w.upgrade(time.Second)
+		w.state.lower()
+	}},
+	{"in the middle of the upgrade", release03, func(w *World) {
+		w.upgrade(10 * time.Second)
+		w.after(14*time.Second, w.state.lower)
+	}},
+	{"in the middle of the upgrade from 0.2", release02, func(w *World) {
+		w.upgrade(5 * time.Second)
+		w.after(6*time.Second, w.state.lower)
+	}},
+	{"in a takeover", release02, func(w *World) {
+		w.upgrade(time.Second)
+		w.Run(8 * time.Second)
+		w.state.lower()
+		w.replace(300 * time.Millisecond)
+		w.after(3*time.Second, func() { w.replace(200 * time.Millisecond) })
+		w.after(4*time.Second, func() { w.replace(200 * time.Millisecond) })
+	}},
+	{"while the state service is slow", release02, func(w *World) {
+		w.upgrade(2 * time.Second)
+		w.Run(10 * time.Second)
+		w.state.slow = 400 * time.Millisecond
+		w.state.lower()
+		w.after(25*time.Second, func() { w.state.slow = 0 })
+	}},
+	{"in an outage", release02, func(w *World) {
+		w.upgrade(2 * time.Second)
+		w.Run(5 * time.Second)
+		w.state.outage(12 * time.Second)
+		w.after(6*time.Second, w.state.lower)
+	}},
+	{"answers are lost", release02, func(w *World) {
+		w.upgrade(2 * time.Second)
+		w.Run(5 * time.Second)
+		w.state.lower()
+		w.state.lose(0.3, true, 20*time.Second)
+	}},
+}
+
 // TestLimitsLoweredFar: the limits fall to a sixteenth at a stroke, so that a record
 // needs more parts than a transaction has changes. They fall in the middle of an
 // upgrade, in a takeover, or while the state service is slow or absent. Every rule
 // holds, nothing is refused twice, and all that is there runs to its end.
 func TestLimitsLoweredFar(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		from release
-		play func(w *World)
-	}{
-		{"after the upgrade", release02, func(w *World) {
-			w.upgrade(8 * time.Second)
-			w.Run(40 * time.Second)
-			w.state.lower()
-		}},
-		{"after the upgrade, all records untouched", release03, func(w *World) {
-			w.upgrade(time.Second)
-			w.state.lower()
-		}},
-		{"in the middle of the upgrade", release03, func(w *World) {
-			w.upgrade(10 * time.Second)
-			w.after(14*time.Second, w.state.lower)
-		}},
-		{"in the middle of the upgrade from 0.2", release02, func(w *World) {
-			w.upgrade(5 * time.Second)
-			w.after(6*time.Second, w.state.lower)
-		}},
-		{"in a takeover", release02, func(w *World) {
-			w.upgrade(time.Second)
-			w.Run(8 * time.Second)
-			w.state.lower()
-			w.replace(300 * time.Millisecond)
-			w.after(3*time.Second, func() { w.replace(200 * time.Millisecond) })
-			w.after(4*time.Second, func() { w.replace(200 * time.Millisecond) })
-		}},
-		{"while the state service is slow", release02, func(w *World) {
-			w.upgrade(2 * time.Second)
-			w.Run(10 * time.Second)
-			w.state.slow = 400 * time.Millisecond
-			w.state.lower()
-			w.after(25*time.Second, func() { w.state.slow = 0 })
-		}},
-		{"in an outage", release02, func(w *World) {
-			w.upgrade(2 * time.Second)
-			w.Run(5 * time.Second)
-			w.state.outage(12 * time.Second)
-			w.after(6*time.Second, w.state.lower)
-		}},
-		{"answers are lost", release02, func(w *World) {
-			w.upgrade(2 * time.Second)
-			w.Run(5 * time.Second)
-			w.state.lower()
-			w.state.lose(0.3, true, 20*time.Second)
-		}},
-	} {
+	for _, c := range lowerings {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(c.name, " seed ", seed), func(t *testing.T) {
 				t.Parallel()
-				shape := lowered(Small(), 15, 4)
-				shape.State.ValueKB, shape.State.TxnOps, shape.Capacity = 32, 24, 40
-				shape.Type.CPUs = 320
-				w := NewShaped(300+seed, logs(), shape)
-				for _, n := range w.nodes {
-					w.release[n.name] = c.from
-					n.crash(time.Millisecond)
-				}
-				w.Run(5 * time.Second)
-				var users []*user
-				for i := range 3 {
-					a := wide(array(fmt.Sprintf("run-60000%d", i), 98))
-					a.GPUs, a.CPUs, a.MemoryGB = 0, 1, 0.5
-					users = append(users, w.submit(0, a, 60+30*w.rng.Float64(), 0, false))
-					g := wide(gangJob(fmt.Sprintf("run-60001%d", i), 40))
-					g.GPUs, g.CPUs, g.MemoryGB, g.CheckpointS, g.SaveS = 0, 1, 0.5, 20, 2
-					users = append(users, w.submit(0, g, 50+30*w.rng.Float64(), 0, false))
-				}
-				w.Run(30 * time.Second)
-				c.play(w)
-				w.Run(60 * time.Second)
-				w.faultsOver = w.Now
-				w.waitFor(t, 400*time.Second, "all are over", func() bool { return !slices.ContainsFunc(users, func(u *user) bool { return !u.over }) })
-				w.Run(20 * time.Second)
-				t.Logf("%d parts staged, %d transactions too large, %d starts", w.rules.staged, w.state.tooLarge, w.rules.started)
-				w.check(t)
+				c.run(t, seed)
 			})
 		}
 	}
 }
+
+// run plays it with records that need many parts.
+func (c lowering) run(t *testing.T, seed uint64) {
+	shape := lowered(Small(), 15, 4)
+	shape.State.ValueKB, shape.State.TxnOps, shape.Capacity = 32, 24, 40
+	shape.Type.CPUs = 320
+	w := NewShaped(300+seed, logs(), shape)
+	for _, n := range w.nodes {
+		w.release[n.name] = c.from
+		n.crash(time.Millisecond)
+	}
+	w.Run(5 * time.Second)
+	var users []*user
+	for i := range 3 {
+		a := wide(array(fmt.Sprintf("run-60000%d", i), 98))
+		a.GPUs, a.CPUs, a.MemoryGB = 0, 1, 0.5
+		users = append(users, w.submit(0, a, 60+30*w.rng.Float64(), 0, false))
+		g := wide(gangJob(fmt.Sprintf("run-60001%d", i), 40))
+		g.GPUs, g.CPUs, g.MemoryGB, g.CheckpointS, g.SaveS = 0, 1, 0.5, 20, 2
+		users = append(users, w.submit(0, g, 50+30*w.rng.Float64(), 0, false))
+	}
+	w.Run(30 * time.Second)
+	c.play(w)
+	w.Run(60 * time.Second)
+	w.faultsOver = w.Now
+	w.waitFor(t, 400*time.Second, "all are over", func() bool { return !slices.ContainsFunc(users, func(u *user) bool { return !u.over }) })
+	w.Run(20 * time.Second)
+	t.Logf("%d parts staged, %d transactions too large, %d starts", w.rules.staged, w.state.tooLarge, w.rules.started)
+	w.check(t)
+}
