--- a/internal/simulation/replicas_test.go
+++ b/internal/simulation/replicas_test.go
@@ -18,70 +18,78 @@
 // share is the part of a service's replica time that was served.
 func (u *user) share() float64 { return float64(u.up) / float64(u.up+u.away) }
 
+// serviceFault is something that happens to a service's machines or to the controllers.
+type serviceFault struct {
+	name  string
+	play  func(w *World, u *user)
+	least float64 // share of 200 s of four replicas that must be served
+}
+
+var serviceFaults = []serviceFault{
+	{"nothing", func(*World, *user) {}, 1},
+	{"the leader ends", func(w *World, _ *user) { w.replace(4 * time.Second) }, 1},
+	{"all controllers end", func(w *World, _ *user) {
+		for _, c := range w.nodes {
+			c.crash(4 * time.Second)
+		}
+	}, 1},
+	{"a machine dies", func(w *World, u *user) {
+		k := w.rules.onAt[u.j.spec.ID+"/1"].k
+		k.kill()
+		delete(w.workers, k.h.ID)
+	}, 0.97},
+	{"a machine is taken away with notice", func(w *World, u *user) {
+		k := w.rules.onAt[u.j.spec.ID+"/1"].k
+		n := 20.0
+		k.notice, k.changed = &n, true
+		w.after(20*time.Second, func() { w.cloud.destroy(k.h) })
+	}, 0.994},
+	{"a machine fails every task", func(w *World, u *user) {
+		w.rules.onAt[u.j.spec.ID+"/1"].k.sick = true
+		w.submit(time.Second, array("run-000081", 4), 10, 0, false)
+		w.submit(2*time.Second, array("run-000082", 4), 10, 0, false)
+	}, 0.994},
+	{"a machine opens no connection", func(w *World, u *user) {
+		k := w.rules.onAt[u.j.spec.ID+"/1"].k
+		k.mute = true
+		w.after(100*time.Second, func() { k.mute = false })
+	}, 0.98},
+	{"the state service is down", func(w *World, _ *user) { w.state.outage(15 * time.Second) }, 1},
+	{"a zone is cut off", func(w *World, _ *user) {
+		w.interrupt(25*time.Second, false, func(a, _ string) bool { return w.zoneOf[a] == "east" })
+	}, 0.9},
+}
+
 // TestServices: what a service's replicas lose under each fault is no more than
 // the time that proof of their end and another start take; only its user ends it.
 func TestServices(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		play  func(w *World, u *user)
-		least float64 // share of 200 s of four replicas
-	}{
-		{"nothing", func(*World, *user) {}, 1},
-		{"the leader ends", func(w *World, _ *user) { w.replace(4 * time.Second) }, 1},
-		{"all controllers end", func(w *World, _ *user) {
-			for _, c := range w.nodes {
-				c.crash(4 * time.Second)
-			}
-		}, 1},
-		{"a machine dies", func(w *World, u *user) {
-			k := w.rules.onAt[u.j.spec.ID+"/1"].k
-			k.kill()
-			delete(w.workers, k.h.ID)
-		}, 0.97},
-		{"a machine is taken away with notice", func(w *World, u *user) {
-			k := w.rules.onAt[u.j.spec.ID+"/1"].k
-			n := 20.0
-			k.notice, k.changed = &n, true
-			w.after(20*time.Second, func() { w.cloud.destroy(k.h) })
-		}, 0.994},
-		{"a machine fails every task", func(w *World, u *user) {
-			w.rules.onAt[u.j.spec.ID+"/1"].k.sick = true
-			w.submit(time.Second, array("run-000081", 4), 10, 0, false)
-			w.submit(2*time.Second, array("run-000082", 4), 10, 0, false)
-		}, 0.994},
-		{"a machine opens no connection", func(w *World, u *user) {
-			k := w.rules.onAt[u.j.spec.ID+"/1"].k
-			k.mute = true
-			w.after(100*time.Second, func() { k.mute = false })
-		}, 0.98},
-		{"the state service is down", func(w *World, _ *user) { w.state.outage(15 * time.Second) }, 1},
-		{"a zone is cut off", func(w *World, _ *user) {
-			w.interrupt(25*time.Second, false, func(a, _ string) bool { return w.zoneOf[a] == "east" })
-		}, 0.9},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			w := New(70, logs())
-			w.Run(6 * time.Second)
-			u := w.submit(0, service("run-000001", 4), 0, 210*time.Second, false)
-			w.waitFor(t, 5*time.Second, "it runs", func() bool { return w.running(u) })
-			w.submit(time.Second, gangJob("run-000002", 4), 300, 0, false) // no machine but its own goes idle
-			w.Run(20 * time.Second)
-			c.play(w, u)
-			w.Run(200 * time.Second)
-			if got := u.share(); got < c.least {
-				t.Errorf("%.4f of the replica time is served", got)
-			} else {
-				t.Logf("%.4f", got)
-			}
-			w.Run(60 * time.Second)
-			if !u.over || u.phase != protocol.PhaseCancelled {
-				t.Errorf("it is %s", u.phase)
-			}
-			w.check(t)
-		})
+	for _, c := range serviceFaults {
+		t.Run(c.name, c.run)
 	}
 }
 
+// run plays it with one service of four replicas.
+func (c serviceFault) run(t *testing.T) {
+	w := New(70, logs())
+	w.Run(6 * time.Second)
+	u := w.submit(0, service("run-000001", 4), 0, 210*time.Second, false)
+	w.waitFor(t, 5*time.Second, "it runs", func() bool { return w.running(u) })
+	w.submit(time.Second, gangJob("run-000002", 4), 300, 0, false) // no machine but its own goes idle
+	w.Run(20 * time.Second)
+	c.play(w, u)
+	w.Run(200 * time.Second)
+	if got := u.share(); got < c.least {
+		t.Errorf("%.4f of the replica time is served", got)
+	} else {
+		t.Logf("%.4f", got)
+	}
+	w.Run(60 * time.Second)
+	if !u.over || u.phase != protocol.PhaseCancelled {
+		t.Errorf("it is %s", u.phase)
+	}
+	w.check(t)
+}
+
 // TestReplicaEnds: a replica that ends by itself, whatever its cause, runs again;
 // a service whose replicas end at once makes no storm of starts, also when it
 // fails on every machine, and takes no machine from others.
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -54,7 +54,16 @@
 		}
 	}
 	span := w.between(time.Second, 45*time.Second)
-	kinds := []func() string{
+	kinds := w.serviceFaults(node, span, hold)
+	kinds = append(kinds, w.machineFaults(someone, span, hold)...)
+	kinds = append(kinds, w.lateFaults(node, someone, span, hold)...)
+	kinds = append(kinds, w.combinedFaults(node, someone, span)...)
+	return kinds[w.rng.IntN(len(kinds))]()
+}
+
+// serviceFaults are faults of controllers, zones and outside systems.
+func (w *World) serviceFaults(node *controller, span time.Duration, hold bool) []func() string {
+	return []func() string{
 		func() string { node.crash(w.between(200*time.Millisecond, 6*time.Second)); return "crash " + node.name },
 		func() string {
 			for _, c := range w.nodes {
@@ -86,6 +95,12 @@
 			w.after(span, func() { w.cloud.down = false })
 			return "cloud outage"
 		},
+	}
+}
+
+// machineFaults are faults of one machine, if there is one.
+func (w *World) machineFaults(someone *worker, span time.Duration, hold bool) []func() string {
+	return []func() string{
 		func() string {
 			if someone != nil {
 				id := someone.h.ID
@@ -116,8 +131,15 @@
 			if someone != nil {
 				w.blockInbound(someone.h.ID, 2*span, hold)
 			}
-			return fmt.Sprint("machine deaf, hold ", hold)
+			return fmt.Sprint("machine not receiving, hold ", hold)
 		},
+	}
+}
+
+// lateFaults are messages that come late, processes that are back at once, slow answers
+// and notices.
+func (w *World) lateFaults(node *controller, someone *worker, span time.Duration, hold bool) []func() string {
+	return []func() string{
 		func() string {
 			w.copies = w.between(2*time.Second, 90*time.Second)
 			w.after(span, func() { w.copies = 0 })
@@ -147,8 +169,6 @@
 			return "spot notice"
 		},
 	}
-	kinds = append(kinds, w.combinedFaults(node, someone, span)...)
-	return kinds[w.rng.IntN(len(kinds))]()
 }
 
 // logs is where a run's log goes: nowhere, unless SIMULATION_LOG asks for it.
