--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -33,7 +34,7 @@
 		<-signals
 		cannotRun("interrupted")
 	}()
-	time.AfterFunc(118*time.Second, func() { cannotRun("it took too long") })
+	time.AfterFunc(time.Duration(limitS()*float64(time.Second)), func() { cannotRun("it took too long") })
 	trouble := os.Getenv("TROUBLE") != "0"
 	settings := smallDeployment()
 	if c.settings != nil {
@@ -56,6 +57,17 @@
 	fmt.Println("the rules held")
 }
 
+// limitS returns for how many seconds a case may run: 118, or LIMIT_S for a longer look.
+func limitS() float64 {
+	if s, err := strconv.ParseFloat(os.Getenv("LIMIT_S"), 64); err == nil {
+		return s
+	}
+	return 118
+}
+
+// limit returns the same.
+func (w *World) limit() float64 { return limitS() }
+
 // smallDeployment returns settings like those of the smaller deployment of the brief.
 func smallDeployment() Settings {
 	return Settings{
--- a/review/standin/mistake.go
+++ b/review/standin/mistake.go
@@ -7,6 +7,8 @@
 
 func init() { cases["mistake"] = scenario{run: mistake} }
 
+// mistake: two jobs that fail on every machine are submitted and cancelled. A job that is submitted
+// afterwards must start: both machines have room.
 func mistake(w *World, trouble bool) {
 	w.cloud.types = []machineType{adinkra("accra-east", "kumasi-central")}
 	w.mu.Lock()
@@ -16,7 +18,7 @@
 	w.mu.Unlock()
 	w.startAll()
 	w.waitReady(15 * time.Second)
-	time.Sleep(1 * time.Second)
+	time.Sleep(3 * time.Second) // both machines have reported
 	service := w.newJob(spec{UID: "run-000001", Lane: "puzzle-api", Crew: "delivery-ops", Shape: "standing", Rank: "critical", Pieces: 3,
 		CPUs: 1, GPUs: 0, MemoryGB: 6.4, Bundle: "img-01", PullGB: 0.3, Scatter: true, Loaners: true}, 0)
 	w.submit(service, 0)
--- /dev/null
+++ b/review/standin/sick.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+func init() { cases["sick"] = scenario{run: sick} }
+
+// sick: three of eight machines fail every task for 38 s; the others run work of the lowest rank. A
+// job that met the three must run afterwards: the cloud has more machines.
+func sick(w *World, trouble bool) {
+	w.cloud.types = []machineType{adinkra("accra-east", "kumasi-central")}
+	w.cloud.boot = func() time.Duration { return 10 * time.Second }
+	w.mu.Lock()
+	for i := range 5 {
+		w.cloud.add("adinkra-gpu", w.set.Zones[i%2], false, 0)
+	}
+	w.mu.Unlock()
+	w.startAll()
+	w.waitReady(15 * time.Second)
+	time.Sleep(4 * time.Second) // all machines have reported
+	idle := w.newJob(spec{UID: "run-000010", Lane: "idle-wordmine", Crew: "delivery-ops", Shape: "array", Rank: "idle", Pieces: 20,
+		CPUs: 7, GPUs: 1, MemoryGB: 60, Bundle: "img-01", PullGB: 0.2, Loaners: false, ExpectS: 3000, SnapshotS: 15, FlushS: 4}, 3000)
+	w.submit(idle, 0)
+	time.Sleep(2 * time.Second)
+	w.mu.Lock()
+	on := 0
+	for i := range idle.spec.Pieces {
+		on += len(w.check.on[fmt.Sprintf("%s/%d", idle.spec.UID, i)])
+	}
+	if on != idle.spec.Pieces {
+		w.mu.Unlock()
+		cannotRun("%d tasks of %s run", on, idle.spec.UID)
+	}
+	for _, z := range w.set.Zones {
+		w.cloud.room[z+"/false"], w.cloud.room[z+"/true"] = 8, 2
+	}
+	var machines []*machine
+	for range 3 {
+		machines = append(machines, w.cloud.add("adinkra-gpu", "accra-east", false, 0))
+	}
+	if trouble {
+		for _, m := range machines {
+			m.worker.sick = true
+			w.logf("%s fails every task", m.id)
+		}
+		time.AfterFunc(38*time.Second, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			for _, m := range machines {
+				m.worker.sick = false
+			}
+			w.logf("no machine fails tasks any more")
+		})
+	}
+	w.mu.Unlock()
+	time.Sleep(4 * time.Second) // they have reported
+	j := w.newJob(spec{UID: "run-000020", Lane: "clue-score", Crew: "lexicon-team", Shape: "array", Rank: "normal", Pieces: 2,
+		CPUs: 6, GPUs: 1, MemoryGB: 48, Bundle: "img-03", PullGB: 0.2, Loaners: true, ExpectS: 10, SnapshotS: 15, FlushS: 4}, 5)
+	w.submit(j, 0)
+	for i := 0; w.at() < w.limit()-8; i++ {
+		time.Sleep(4 * time.Second)
+		if _, phase := w.poll(j, w.nodes[i%3]); phase == "done" {
+			return
+		}
+	}
+	w.check.violated("served", "%s, the only job of its class, was accepted at %.0f s and has not run at %.0f s, long after the trouble", j.spec.UID, j.accepted.Sub(w.t0).Seconds(), w.at())
+}
--- a/review/standin/starve.go
+++ b/review/standin/starve.go
@@ -36,6 +36,8 @@
 	return nil
 }
 
+// starve: one of four machines of a zone is taken back before a gang of four is submitted. A small job
+// that is submitted after it must start: three machines have room.
 func starve(w *World, trouble bool) {
 	w.cloud.types = []machineType{adinkra("accra-east", "kumasi-central")}
 	w.mu.Lock()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -117,13 +118,18 @@
 	return l.Addr().String()
 }
 
+// freeAddress returns a loopback address on which nothing listens. Its port is below those that the
+// system chooses for connections.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannotRun("listen: %v", err)
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15000+rand.Intn(17000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	cannotRun("no free port")
+	return ""
 }
 
 // cleanUp ends what this process started.
