Review case 1: the mistaken jobs are 2 of 52, as few as in the site files

Cause: the site files have broken = 0.04 of a class. Change: 48 more jobs are submitted, and wait too.

--- a/review/standin/mistake.go
+++ b/review/standin/mistake.go
@@ -41,5 +41,13 @@
 	array := w.newJob(spec{UID: "run-000020", Lane: "clue-score", Crew: "lexicon-team", Shape: "array", Rank: "normal", Pieces: 3,
 		CPUs: 6, GPUs: 1, MemoryGB: 48, Bundle: "img-03", PullGB: 0.3, Loaners: true, ExpectS: 10, SnapshotS: 15, FlushS: 4}, 5)
 	w.submit(array, 1)
+	for i := range 48 { // two of 52 jobs have a mistake
+		j := w.newJob(spec{UID: fmt.Sprintf("run-0001%02d", i), Lane: "clue-score", Crew: "lexicon-team", Shape: "array", Rank: "normal", Pieces: 1,
+			CPUs: 6, GPUs: 1, MemoryGB: 48, Bundle: "img-03", PullGB: 0.3, Loaners: true, ExpectS: 10, SnapshotS: 15, FlushS: 4}, 5)
+		go func() {
+			time.Sleep(time.Duration(i) * 500 * time.Millisecond)
+			w.submit(j, i)
+		}()
+	}
 	w.expectStart(array)
 }
