Review case 2: one of three cheap machines is taken back

Cause: a wave of the site files takes at most 40% of the cheap machines. Change: the zone has one ordinary machine and three cheap ones, of which one is taken.

--- a/review/standin/starve.go
+++ b/review/standin/starve.go
@@ -41,9 +41,9 @@
 func starve(w *World, trouble bool) {
 	w.cloud.types = []machineType{adinkra("accra-east", "kumasi-central")}
 	w.mu.Lock()
-	for range 3 {
-		w.cloud.add("adinkra-gpu", "accra-east", false, 0)
-	}
+	w.cloud.add("adinkra-gpu", "accra-east", false, 0)
+	w.cloud.add("adinkra-gpu", "accra-east", true, 0)
+	w.cloud.add("adinkra-gpu", "accra-east", true, 0)
 	cheap := w.cloud.add("adinkra-gpu", "accra-east", true, 0)
 	w.cloud.add("adinkra-gpu", "kumasi-central", false, 0)
 	w.cloud.room["kumasi-central/false"] = 6
