--- a/internal/coordination/agents/reconciliation.go
+++ b/internal/coordination/agents/reconciliation.go
@@ -152,11 +152,11 @@
 
 // recordEnd processes the end of an attempt, and of its task if that is done.
 func (h *Heartbeats) recordEnd(machine *cluster.Machine, key cluster.AttemptID, entry *protocol.TaskStatus) {
+	attempt := machine.Attempts[key]
 	if job := h.state.Jobs[key.Job]; entry.Cause == protocol.CauseDone && job != nil {
 		h.lifecycle.MarkDone(job, key.Index)
-		clear(machine.FailedJobs)
+		h.lifecycle.ObserveSuccess(machine, attempt)
 	}
-	attempt := machine.Attempts[key]
 	if attempt == nil {
 		return
 	}
--- a/internal/coordination/autoscaler/consolidation.go
+++ b/internal/coordination/autoscaler/consolidation.go
@@ -55,7 +55,7 @@
 	c := &consolidation{autoscaler: as, free: map[*cluster.Machine]cluster.Resources{}, drained: map[*cluster.Machine]bool{}}
 	for _, machine := range as.state.OrderedMachines {
 		machineType := as.state.TypeOf(machine)
-		if !as.state.Schedulable(machine) || machine.ReservedFor != nil || len(machine.Attempts) == 0 || machineType.GPUs == 0 {
+		if !as.state.Schedulable(machine) || machine.Trial != nil || machine.ReservedFor != nil || len(machine.Attempts) == 0 || machineType.GPUs == 0 {
 			continue
 		}
 		c.targets = append(c.targets, machine)
--- a/internal/coordination/autoscaler/harness_test.go
+++ b/internal/coordination/autoscaler/harness_test.go
@@ -114,7 +114,7 @@
 
 // Drain implements Environment.
 func (e *environment) Drain(machine *cluster.Machine) {
-	machine.Cordon()
+	machine.Cordon(e.cluster.Now())
 	e.drained = append(e.drained, machine)
 }
 
--- a/internal/coordination/autoscaler/scale_in.go
+++ b/internal/coordination/autoscaler/scale_in.go
@@ -64,7 +64,7 @@
 // qualifiesAsSpare reports whether a machine could take tasks of a job that is submitted now.
 func (as *Autoscaler) qualifiesAsSpare(machine *cluster.Machine) bool {
 	onDemandOnly := as.state.Now().Sub(as.lastNonSpotSubmission) <= tuning.SpareRetention
-	return as.state.Schedulable(machine) && !(onDemandOnly && machine.Spot) && machine.OnlyLowestPriority()
+	return as.state.Schedulable(machine) && machine.Trial == nil && !(onDemandOnly && machine.Spot) && machine.OnlyLowestPriority()
 }
 
 // keepAsSpare reports whether an idle machine is kept as one of its zone's spares. If the zone
--- a/internal/coordination/autoscaler/scale_out.go
+++ b/internal/coordination/autoscaler/scale_out.go
@@ -59,9 +59,9 @@
 
 // countsAsCapacity reports whether waiting jobs can expect to use a machine. A machine that is
 // booting, or has not sent a new leader a heartbeat yet, counts too: otherwise a replacement
-// for it would be requested.
+// for it would be requested. One that is tried again after a quarantine does not count.
 func (as *Autoscaler) countsAsCapacity(machine *cluster.Machine) bool {
-	if as.state.TypeOf(machine) == nil || machine.Deleting || machine.Cordoned {
+	if as.state.TypeOf(machine) == nil || machine.Deleting || machine.Cordoned || machine.Trial != nil {
 		return false
 	}
 	if as.Booting(machine) || !machine.Agent.Heard && as.state.Now().Sub(as.state.LeadingSince) < as.state.SilenceTimeout() {
--- a/internal/coordination/cluster/constraints.go
+++ b/internal/coordination/cluster/constraints.go
@@ -71,7 +71,7 @@
 
 // MeetsConstraints reports the same as Eligible for a machine that is known to be schedulable.
 func (st *State) MeetsConstraints(job *Job, machine *Machine) bool {
-	return (machine.ReservedFor == nil || machine.ReservedFor == job) &&
+	return (machine.ReservedFor == nil || machine.ReservedFor == job) && machine.Admits(job, st.Now()) &&
 		SpecAllows(job.Spec, machine.TypeName, machine.Zone, machine.Spot) && !st.Avoids(job, machine)
 }
 
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -27,12 +27,11 @@
 	IdleSince time.Time
 	Images    []CachedImage // the least recently used first
 
-	Recovered   bool // loaded from a record of a previous leader
-	Cordoned    bool // accepts no new tasks; stored in the machine record
-	Deleting    bool
-	SpotNotice  bool                    // the cloud is about to preempt this spot machine
-	Quarantined bool                    // too many jobs had a task fail here
-	FailedJobs  map[protocol.JobID]bool // jobs that failed here since a task last succeeded here
+	Recovered  bool // loaded from a record of a previous leader
+	Deleting   bool
+	SpotNotice bool // the cloud is about to preempt this spot machine
+	CordonState
+	Suspicion
 
 	// ReservedFor is the job for which the free capacity is reserved, nil if there is none.
 	ReservedFor   *Job
@@ -80,25 +79,6 @@
 	return true
 }
 
-// Cordon makes the machine accept no new tasks. It returns false if it was cordoned before.
-func (m *Machine) Cordon() bool {
-	if m.Cordoned {
-		return false
-	}
-	m.Cordoned = true
-	return true
-}
-
-// Quarantine records that too many jobs failed on the machine. It returns false if the
-// machine was quarantined before.
-func (m *Machine) Quarantine() bool {
-	if m.Quarantined {
-		return false
-	}
-	m.Quarantined = true
-	return true
-}
-
 // MarkDeleting records that the machine is to be deleted. It returns false if that was
 // recorded before.
 func (m *Machine) MarkDeleting() bool {
--- a/internal/coordination/cluster/state.go
+++ b/internal/coordination/cluster/state.go
@@ -142,13 +142,13 @@
 // newMachine returns a machine of which only the ID is known.
 func newMachine(id protocol.MachineID, now time.Time) *Machine {
 	return &Machine{
-		ID:         id,
-		Attempts:   map[AttemptID]*Attempt{},
-		Delivery:   CommandDelivery{MustNotForget: map[AttemptID]bool{}, ForgetSentAt: map[AttemptID]time.Time{}},
-		FailedJobs: map[protocol.JobID]bool{},
-		IdleSince:  now,
-		CreatedAt:  now,
-		Slots:      buddy.New(0),
+		ID:        id,
+		Attempts:  map[AttemptID]*Attempt{},
+		Delivery:  CommandDelivery{MustNotForget: map[AttemptID]bool{}, ForgetSentAt: map[AttemptID]time.Time{}},
+		Suspicion: Suspicion{FailedJobs: map[protocol.JobID]bool{}},
+		IdleSince: now,
+		CreatedAt: now,
+		Slots:     buddy.New(0),
 	}
 }
 
--- a/internal/coordination/cluster/states_test.go
+++ b/internal/coordination/cluster/states_test.go
@@ -127,7 +127,11 @@
 func TestRepeatedMachineMarksReturnFalse(t *testing.T) {
 	c := clustertest.New()
 	machine := c.AddMachine("i-1", "big", "a")
-	for name, mark := range map[string]func() bool{"cordon": machine.Cordon, "quarantine": machine.Quarantine, "deletion": machine.MarkDeleting} {
+	for name, mark := range map[string]func() bool{
+		"cordon":     func() bool { return machine.Cordon(c.Now()) },
+		"quarantine": func() bool { return machine.Quarantine(c.Now()) },
+		"deletion":   machine.MarkDeleting,
+	} {
 		if !mark() || mark() {
 			t.Errorf("%s: the first call does not return true, or the second does not return false", name)
 		}
--- a/internal/coordination/commit/machine_records.go
+++ b/internal/coordination/commit/machine_records.go
@@ -92,16 +92,24 @@
 		machine := mr.state.EnsureMachine(entry.ID, entry.Address, entry.Type, entry.Zone, entry.Spot)
 		if machine.Record != nil {
 			record.StaleSince = mr.state.Now() // listed in two records: it stays in the first one
-			machine.Cordoned = machine.Cordoned || entry.Cordoned
+			mr.inheritCordon(machine, entry)
 			continue
 		}
 		record.Zone = entry.Zone
-		machine.Cordoned, machine.Recorded, machine.Recovered = machine.Cordoned || entry.Cordoned, true, true
+		mr.inheritCordon(machine, entry)
+		machine.Recorded, machine.Recovered = true, true
 		record.Add(machine, entry.MaxSize())
 	}
 	mr.records = append(mr.records, record)
 }
 
+// inheritCordon cordons a machine if its stored entry does.
+func (mr *MachineRecords) inheritCordon(machine *cluster.Machine, entry storage.MachineEntry) {
+	if entry.Cordoned {
+		machine.InheritCordon(mr.state.Now())
+	}
+}
+
 // SplitOversized moves machines out of oversized records into other records. Such a machine is
 // given no task until the other record is written. Then both records list it until the oversized
 // one is written too.
--- a/internal/coordination/failures_test.go
+++ b/internal/coordination/failures_test.go
@@ -109,3 +109,28 @@
 		t.Errorf("placed again as %v at epoch %d", job.SortedAttempts(), job.Epoch)
 	}
 }
+
+// TestStoredCordonEndsUnderNextLeader: a cordon in the records, as every version writes it, kept a
+// machine with replicas out of use under all later leaders.
+func TestStoredCordonEndsUnderNextLeader(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	stored, _ := parse[storage.MachineRecord]([]byte(`{"w":"n-1","rooms":[{"id":"i-1","addr":"h:1","type":"big","zone":"a","closed":true}]}`))
+	l.committer.Machines.Load("g/m/n-1", 9, &stored)
+	machine := l.cluster.Machines["i-1"]
+	replica := l.testJob(protocol.Job{Team: "free", Shape: protocol.ShapeService, Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "x", Priority: "critical"})
+	l.cluster.AddAttempt(replica, 0, 1, machine, 1).MarkRecovered()
+	l.n.now = l.n.now.Add(tuning.QuarantineTime)
+	machine.Agent = cluster.AgentState{Heard: true, TokenConfirmed: true, Incarnation: 1, LastHeartbeat: l.n.now, RespondedAt: l.n.now}
+	l.lifecycle.ReviewMachines()
+	if !l.cycleFullyPlaces(l.testJob(gangOf(1, 1))) {
+		t.Error("a job is not placed on the machine")
+	}
+	l.committer.Commit()
+	txn, _ := l.lastTransaction(t)
+	for _, change := range txn.Changes {
+		if record, _ := parse[storage.MachineRecord](change.Value); change.Set == "g/m/n-1" && !record.Machines[0].Cordoned {
+			return
+		}
+	}
+	t.Errorf("the machine record still shows it as cordoned: %s", storage.Encode(txn.Changes))
+}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -86,6 +86,7 @@
 		if l.n.ownLeader != l {
 			return
 		}
+		l.lifecycle.ReviewMachines()
 		l.autoscaler.Tick()
 		l.tickRecovery()
 		l.restoreMonitor.Tick()
--- a/internal/coordination/lifecycle/failure.go
+++ b/internal/coordination/lifecycle/failure.go
@@ -29,15 +29,18 @@
 // attributeError attributes a task's error to its machine. Once the job has failed on
 // tuning.MaxJobFailures machines, it attributes the errors to the job instead.
 func (m *Manager) attributeError(job *cluster.Job, machine *cluster.Machine) {
+	machine.EndTrialOf(job)
 	job.Failures.Machines[machine.ID] = true
 	job.Failures.AvoidUntil[machine.ID] = m.state.Now().Add(tuning.MachineFailureBackoff)
 	if len(job.Failures.Machines) >= tuning.MaxJobFailures {
 		m.attributeToJob(job)
 		return
 	}
-	machine.FailedJobs[job.ID] = true
-	if len(machine.FailedJobs) >= tuning.MaxMachineFailures && machine.Quarantine() {
-		m.log.Info("machine quarantined", "machine", machine.ID)
+	if !machine.RecordFailure(job.ID, m.state.Now()) {
+		return
+	}
+	if len(machine.FailedJobs) >= tuning.MaxMachineFailures && machine.Quarantine(m.state.Now()) {
+		m.log.Info("machine quarantined", "machine", machine.ID, "job", job.ID, "failed_jobs", len(machine.FailedJobs))
 		m.Drain(machine)
 	}
 }
--- /dev/null
+++ b/internal/coordination/lifecycle/review.go
@@ -0,0 +1,72 @@
+package lifecycle
+
+import (
+	"github.com/gappond/gappond/internal/coordination/cluster"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// ReviewMachines ends the cordons that have lost their reason. A cordoned machine is normally
+// deleted within seconds. If that is impossible, because its replicas fit nowhere else, it must
+// not stay out of use: the failures counted against it may have been the jobs' own, and its
+// fault may be over.
+func (m *Manager) ReviewMachines() {
+	for _, machine := range m.state.OrderedMachines {
+		if machine.Suspected() {
+			m.observeRunningTasks(machine)
+		}
+		if machine.Cordoned && !machine.Deleting && !machine.SpotNotice {
+			m.reviewCordon(machine)
+		}
+	}
+}
+
+// reviewCordon ends a machine's cordon if its time is over.
+func (m *Manager) reviewCordon(machine *cluster.Machine) {
+	cordonedFor := m.state.Now().Sub(machine.CordonedSince)
+	switch {
+	case machine.Quarantined && cordonedFor >= tuning.QuarantineTime:
+		m.uncordon(machine, "quarantine is over")
+	case machine.CordonInherited && cordonedFor >= tuning.QuarantineTime:
+		m.uncordon(machine, "cordoned by an earlier leader and not deleted")
+	case cordonedFor >= tuning.DrainTime:
+		m.uncordon(machine, "drained for too long")
+	}
+}
+
+// uncordon makes a machine accept tasks again. One that may still be faulty is tried with one job
+// at a time.
+func (m *Manager) uncordon(machine *cluster.Machine, reason string) {
+	m.log.Info("machine uncordoned", "machine", machine.ID, "reason", reason)
+	if machine.CordonInherited || machine.Quarantined {
+		machine.BeginTrial(m.state.Now())
+	}
+	machine.Uncordon()
+	m.env.RecordMachine(machine)
+	m.env.RequestScheduling()
+}
+
+// observeRunningTasks looks for a task on a suspected machine that has run for long enough to show
+// that the machine works.
+func (m *Manager) observeRunningTasks(machine *cluster.Machine) {
+	if !m.state.ConfirmedAlive(machine) {
+		return
+	}
+	for _, attempt := range cluster.SortedAttemptsOn(machine) {
+		if attempt.ShowsWorking() && attempt.RanFor(tuning.WorkingRunTime, m.state.Now()) {
+			machine.ClearSuspicion()
+			return
+		}
+	}
+}
+
+// ObserveSuccess handles the success of a task on a machine. The attempt is nil if it is not in the
+// model any more. A task that began before the last failure there says nothing about a quarantined
+// machine.
+func (m *Manager) ObserveSuccess(machine *cluster.Machine, attempt *cluster.Attempt) {
+	switch {
+	case attempt != nil && attempt.ShowsWorking():
+		machine.ClearSuspicion()
+	case !machine.Quarantined && machine.Trial == nil:
+		machine.ClearSuspicion()
+	}
+}
--- /dev/null
+++ b/internal/coordination/lifecycle/review_test.go
@@ -0,0 +1,121 @@
+package lifecycle_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gappond/gappond/internal/coordination/cluster"
+	"github.com/gappond/gappond/internal/coordination/clustertest"
+	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+var failed = &protocol.TaskStatus{State: protocol.TaskExited, Cause: protocol.CauseError}
+
+// failOn has an attempt of a new job fail on a machine.
+func (l *testLeader) failOn(machine *cluster.Machine) *cluster.Job {
+	job := l.AddJob(clustertest.Array(1))
+	l.failAgainOn(job, machine)
+	return job
+}
+
+// failAgainOn has another attempt of a job fail on a machine.
+func (l *testLeader) failAgainOn(job *cluster.Job, machine *cluster.Machine) {
+	attempt := l.AddAttempt(job, 0, job.Tasks[0].LastAttempt+1, machine, 1)
+	job.Tasks[0].LastAttempt++
+	l.HandleExit(attempt, failed)
+	l.RemoveGone(attempt)
+}
+
+// quarantine has as many jobs fail on a machine as it takes to quarantine it.
+func (l *testLeader) quarantine(machine *cluster.Machine) (jobs []*cluster.Job) {
+	for range tuning.MaxMachineFailures {
+		jobs = append(jobs, l.failOn(machine))
+	}
+	return jobs
+}
+
+// TestCordonEndsInTime: a machine that was cordoned but could not be deleted was out of use for good.
+func TestCordonEndsInTime(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		cordon    func(l *testLeader, machine *cluster.Machine)
+		after     time.Duration // 0: never
+		wantTrial bool
+	}{
+		{"quarantined", func(l *testLeader, machine *cluster.Machine) { l.quarantine(machine) }, tuning.QuarantineTime, true},
+		{"by an earlier leader", func(l *testLeader, machine *cluster.Machine) { machine.InheritCordon(l.Now()) }, tuning.QuarantineTime, true},
+		{"drained", func(l *testLeader, machine *cluster.Machine) { l.Drain(machine) }, tuning.DrainTime, false},
+		{"with a preemption notice", func(l *testLeader, machine *cluster.Machine) {
+			machine.SpotNotice = true
+			l.Drain(machine)
+		}, 0, false},
+		{"being deleted", func(l *testLeader, machine *cluster.Machine) {
+			l.quarantine(machine)
+			machine.Deleting = true
+		}, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newTestLeader()
+			machine := l.AddMachine("i-1", "big", "a")
+			c.cordon(l, machine)
+			from := l.Now()
+			for l.Now().Sub(from) < 5*time.Minute && machine.Cordoned {
+				l.Advance(time.Second)
+				l.Heartbeat()
+				l.ReviewMachines()
+			}
+			if took := l.Now().Sub(from); c.after > 0 && took != c.after || machine.Cordoned != (c.after == 0) {
+				t.Errorf("cordoned %v after %v", machine.Cordoned, took)
+			}
+			if onTrial := machine.Trial != nil; onTrial != c.wantTrial {
+				t.Errorf("on trial: %v, want the opposite", onTrial)
+			}
+		})
+	}
+}
+
+// TestTrialAdmitsOneJobAtATime: on a machine that may still be faulty, one job that failed nowhere
+// starts at a time, until a task has run long enough to show that the machine works. If the job
+// fails, the machine is quarantined again at once.
+func TestTrialAdmitsOneJobAtATime(t *testing.T) {
+	for _, works := range []bool{true, false} {
+		l := newTestLeader()
+		machine := l.AddMachine("i-1", "big", "a")
+		jobs := append(l.quarantine(machine), l.AddJob(clustertest.Array(1)), l.AddJob(clustertest.Array(1)))
+		l.Advance(tuning.QuarantineTime)
+		l.Heartbeat()
+		l.ReviewMachines()
+		old, fresh, next := jobs[0], jobs[len(jobs)-2], jobs[len(jobs)-1]
+		l.checkAdmitted(t, machine, map[*cluster.Job]bool{old: false, fresh: true, next: true})
+		machine.Admit(fresh, l.Now())
+		l.Advance(time.Second)
+		l.PlaceAll(fresh, machine)
+		l.Run(fresh)
+		l.checkAdmitted(t, machine, map[*cluster.Job]bool{old: false, fresh: true, next: false})
+		if !works {
+			l.HandleExit(fresh.Tasks[0].Active, failed)
+			if !machine.Quarantined || !machine.Cordoned {
+				t.Error("the machine is not quarantined again")
+			}
+			continue
+		}
+		l.Advance(tuning.WorkingRunTime)
+		l.Heartbeat()
+		l.ReviewMachines()
+		l.checkAdmitted(t, machine, map[*cluster.Job]bool{old: true, fresh: true, next: true})
+		if machine.Suspected() {
+			t.Error("the machine is still suspected")
+		}
+	}
+}
+
+// checkAdmitted checks which jobs may start tasks on a machine.
+func (l *testLeader) checkAdmitted(t *testing.T, machine *cluster.Machine, want map[*cluster.Job]bool) {
+	t.Helper()
+	for job, admitted := range want {
+		if got := machine.Admits(job, l.Now()); got != admitted {
+			t.Errorf("%s may start: %v, want %v", job.ID, got, admitted)
+		}
+	}
+}
--- a/internal/coordination/lifecycle/stop.go
+++ b/internal/coordination/lifecycle/stop.go
@@ -21,7 +21,7 @@
 // Tasks that cannot may run to their end, but not on a quarantined machine.
 func (m *Manager) Drain(machine *cluster.Machine) {
 	m.env.RequestScheduling()
-	if machine.Cordon() {
+	if machine.Cordon(m.state.Now()) {
 		m.env.RecordMachine(machine) // so that no later leader places tasks there either
 	}
 	for _, attempt := range cluster.SortedAttemptsOn(machine) {
--- a/internal/coordination/scheduler/candidate.go
+++ b/internal/coordination/scheduler/candidate.go
@@ -13,7 +13,7 @@
 	machine         *cluster.Machine
 	tasks           int  // number of tasks that fit
 	freeSlots       int  // free slots before the tasks are placed
-	suspected       bool // a task failed there and none has succeeded since, or its zone may be lost
+	suspected       bool // the machine may be faulty, or its zone may be lost
 	siblingReplicas int  // replicas of the same service on the machine
 	starvesGPUs     bool // one more task without GPUs would leave some of its GPUs idle
 	surviving       bool // ran a task of the gang's broken attempt and is still there
@@ -42,7 +42,7 @@
 			machine:    machine,
 			tasks:      tasks,
 			freeSlots:  machine.Slots.Free(),
-			suspected:  len(machine.FailedJobs) > 0,
+			suspected:  machine.Suspected(),
 			surviving:  job.SurvivingMachines[machine.ID],
 			imageLocal: machine.HasImage(job.Spec.Image),
 			price:      c.state.PriceOf(machine),
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -73,6 +73,7 @@
 func (sc *Scheduler) assign(job *cluster.Job, index int, number protocol.AttemptNumber, machine *cluster.Machine) {
 	task := &job.Tasks[index]
 	attempt := sc.state.AddAttempt(job, index, number, machine, machine.Agent.Incarnation)
+	machine.Admit(job, sc.state.Now())
 	task.LastAttempt, task.Active, job.EverPlaced = number, attempt, true
 	sc.log.Debug("task placed", "job", job.ID, "task", index, "attempt", number, "machine", machine.ID)
 	if machine.ReservedFor == job {
--- a/internal/simulation/agent.go
+++ b/internal/simulation/agent.go
@@ -32,6 +32,7 @@
 	heldPackets        []func() // handlers of what arrives while the machine hangs
 	preemptionNoticeS  *float64
 	failsTasks         bool
+	failedTasks        int       // tasks that have failed because of failsTasks
 	opensNoConnections bool      // the agent's heartbeats reach no controller
 	tokenReportedAt    time.Time // when a higher token last caused an early heartbeat
 }
--- a/internal/simulation/gang.go
+++ b/internal/simulation/gang.go
@@ -46,6 +46,9 @@
 	case job.done[t.index]:
 		t.exit(protocol.CauseDone, false)
 	case t.agent.failsTasks || job.alwaysFails:
+		if t.agent.failsTasks {
+			t.agent.failedTasks++
+		}
 		t.agent.schedule(300*time.Millisecond, t, func() { t.exit(protocol.CauseError, false) })
 	case t.job.Gang():
 		t.joinGang(job)
--- a/internal/tuning/agents.go
+++ b/internal/tuning/agents.go
@@ -108,6 +108,16 @@
 	// MaxMachineFailures is the number of different jobs that may fail on a machine, without a
 	// success in between, before the machine is drained and deleted.
 	MaxMachineFailures = 2
+	// QuarantineTime is how long a machine is quarantined before it is tried again. With a trial
+	// and an image fetch it stays below the 90 s for which no job may wait beside free capacity.
+	QuarantineTime = 40 * time.Second
+	// DrainTime is how long a machine may be drained before it is used again: long enough to stop
+	// every task that can save its progress, and below the 90 s mentioned at QuarantineTime.
+	DrainTime = 60 * time.Second
+	// TrialInterval is the pause between two jobs that are admitted to a machine on trial.
+	TrialInterval = 15 * time.Second
+	// WorkingRunTime is how long a task must have run to show that its machine works.
+	WorkingRunTime = 10 * time.Second
 	// MaxJobFailures is the number of different machines on which a job may fail before the
 	// failures are attributed to the job and not to the machines.
 	MaxJobFailures = 3
