--- a/internal/coordination/cluster/job.go
+++ b/internal/coordination/cluster/job.go
@@ -52,6 +52,9 @@
 	// AttributedToJob counts how often failures were attributed to the job instead of to
 	// machines.
 	AttributedToJob int
+	// Refuted: another job succeeded on a machine after this one had failed there, and this one
+	// has not succeeded since. Its failures do not count against machines.
+	Refuted bool
 	// AvoidUntil maps machines that refused a task, or on which a task failed, to the time
 	// until which the job avoids them.
 	AvoidUntil map[protocol.MachineID]time.Time
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -120,6 +120,7 @@
 func (l *leader) cancelJob(job *cluster.Job) {
 	if job.Cancel() {
 		l.schedulingRequested = true
+		l.lifecycle.WithdrawFailures(job)
 		l.lifecycle.CheckEnded(job)
 	}
 }
--- a/internal/coordination/lifecycle/failure.go
+++ b/internal/coordination/lifecycle/failure.go
@@ -27,16 +27,20 @@
 }
 
 // attributeError attributes a task's error to its machine. Once the job has failed on
-// tuning.MaxJobFailures machines, it attributes the errors to the job instead.
+// tuning.MaxJobFailures machines, it attributes the errors to the job instead. The error of a
+// cancelled job counts against nobody.
 func (m *Manager) attributeError(job *cluster.Job, machine *cluster.Machine) {
 	machine.EndTrialOf(job)
+	if job.Cancelled {
+		return
+	}
 	job.Failures.Machines[machine.ID] = true
 	job.Failures.AvoidUntil[machine.ID] = m.state.Now().Add(tuning.MachineFailureBackoff)
 	if len(job.Failures.Machines) >= tuning.MaxJobFailures {
 		m.attributeToJob(job)
 		return
 	}
-	if !machine.RecordFailure(job.ID, m.state.Now()) {
+	if job.Failures.Refuted || !machine.RecordFailure(job.ID, m.state.Now()) {
 		return
 	}
 	if len(machine.FailedJobs) >= tuning.MaxMachineFailures && machine.Quarantine(m.state.Now()) {
--- a/internal/coordination/lifecycle/review.go
+++ b/internal/coordination/lifecycle/review.go
@@ -20,10 +20,13 @@
 	}
 }
 
-// reviewCordon ends a machine's cordon if its time is over.
+// reviewCordon ends a machine's cordon if the failures that led to it do not count any more, or if
+// its time is over.
 func (m *Manager) reviewCordon(machine *cluster.Machine) {
 	cordonedFor := m.state.Now().Sub(machine.CordonedSince)
 	switch {
+	case machine.Quarantined && len(machine.FailedJobs) < tuning.MaxMachineFailures:
+		m.uncordon(machine, "failures do not count any more")
 	case machine.Quarantined && cordonedFor >= tuning.QuarantineTime:
 		m.uncordon(machine, "quarantine is over")
 	case machine.CordonInherited && cordonedFor >= tuning.QuarantineTime:
@@ -37,7 +40,7 @@
 // at a time.
 func (m *Manager) uncordon(machine *cluster.Machine, reason string) {
 	m.log.Info("machine uncordoned", "machine", machine.ID, "reason", reason)
-	if machine.CordonInherited || machine.Quarantined {
+	if machine.CordonInherited || machine.Quarantined && len(machine.FailedJobs) > 0 {
 		machine.BeginTrial(m.state.Now())
 	}
 	machine.Uncordon()
@@ -53,7 +56,7 @@
 	}
 	for _, attempt := range cluster.SortedAttemptsOn(machine) {
 		if attempt.ShowsWorking() && attempt.RanFor(tuning.WorkingRunTime, m.state.Now()) {
-			machine.ClearSuspicion()
+			m.machineWorks(attempt)
 			return
 		}
 	}
@@ -65,8 +68,52 @@
 func (m *Manager) ObserveSuccess(machine *cluster.Machine, attempt *cluster.Attempt) {
 	switch {
 	case attempt != nil && attempt.ShowsWorking():
-		machine.ClearSuspicion()
+		m.machineWorks(attempt)
 	case !machine.Quarantined && machine.Trial == nil:
 		machine.ClearSuspicion()
 	}
+	if attempt != nil {
+		attempt.Job.Failures.Refuted = false
+	}
+}
+
+// machineWorks handles an attempt that shows that its machine works. So other jobs that failed
+// there failed by their own fault.
+func (m *Manager) machineWorks(attempt *cluster.Attempt) {
+	machine := attempt.Machine
+	for id := range machine.FailedJobs {
+		if job := m.state.Jobs[id]; job != nil && job != attempt.Job {
+			job.Failures.Refuted = true
+		}
+	}
+	attempt.Job.Failures.Refuted = false
+	machine.ClearSuspicion()
+}
+
+// WithdrawFailures makes the failures of a job that its user has cancelled not count against
+// machines any more: a job that was submitted with a mistake fails everywhere until it is
+// cancelled. Those of a job that works elsewhere still count.
+func (m *Manager) WithdrawFailures(job *cluster.Job) {
+	if m.works(job) {
+		return
+	}
+	for id := range job.Failures.Machines {
+		if machine := m.state.Machines[id]; machine != nil {
+			delete(machine.FailedJobs, job.ID)
+		}
+	}
+}
+
+// works reports whether a task of the job is done, or has run for long enough to show that the job
+// has no mistake.
+func (m *Manager) works(job *cluster.Job) bool {
+	if job.DoneTasks > 0 {
+		return true
+	}
+	for _, attempt := range job.Attempts {
+		if attempt.RanFor(tuning.WorkingRunTime, m.state.Now()) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/coordination/lifecycle/review_test.go
+++ b/internal/coordination/lifecycle/review_test.go
@@ -119,3 +119,74 @@
 		}
 	}
 }
+
+// TestFailuresOfMistakenJobsStopCounting: failures that turn out to be the jobs' own fault kept a
+// machine in quarantine.
+func TestFailuresOfMistakenJobsStopCounting(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		then      func(l *testLeader, job *cluster.Job)
+		wantEnded bool
+	}{
+		{"nothing happens", func(*testLeader, *cluster.Job) {}, false},
+		{"the jobs are cancelled", (*testLeader).cancel, true},
+		{"the jobs are cancelled while they run elsewhere", func(l *testLeader, job *cluster.Job) {
+			l.PlaceAll(job, l.AddMachine("i-2", "big", "a"))
+			l.Run(job)
+			l.Advance(tuning.WorkingRunTime)
+			l.cancel(job)
+		}, false},
+		{"the jobs fail everywhere", func(l *testLeader, job *cluster.Job) {
+			for _, id := range []protocol.MachineID{"i-2", "i-3"} {
+				l.failAgainOn(job, l.AddMachine(id, "big", "a"))
+			}
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newTestLeader()
+			machine := l.AddMachine("i-1", "big", "a")
+			for _, job := range l.quarantine(machine) {
+				c.then(l, job)
+			}
+			l.ReviewMachines()
+			if machine.Cordoned == c.wantEnded || machine.Suspected() == c.wantEnded {
+				t.Errorf("cordoned %v, suspected %v", machine.Cordoned, machine.Suspected())
+			}
+		})
+	}
+}
+
+// cancel has a job's user cancel it.
+func (l *testLeader) cancel(job *cluster.Job) {
+	job.Cancel()
+	l.WithdrawFailures(job)
+}
+
+// TestRefutedFailuresDoNotCount: a job that fails where another one works quarantined one working
+// machine after the other. Work that began before the failure shows nothing.
+func TestRefutedFailuresDoNotCount(t *testing.T) {
+	for _, startsAfterFailure := range []bool{true, false} {
+		l := newTestLeader()
+		machine := l.AddMachine("i-1", "big", "a")
+		other := l.AddJob(clustertest.Array(1))
+		l.PlaceAll(other, machine)
+		if !startsAfterFailure {
+			l.Run(other)
+			l.Advance(time.Second)
+		}
+		mistaken := l.failOn(machine)
+		l.Advance(time.Second)
+		l.Run(other)
+		l.Advance(tuning.WorkingRunTime)
+		l.Heartbeat()
+		l.ReviewMachines()
+		if machine.Suspected() == startsAfterFailure {
+			t.Errorf("work began after the failure: %v, machine suspected: %v", startsAfterFailure, machine.Suspected())
+		}
+		l.failAgainOn(mistaken, machine)
+		l.failOn(machine)
+		if machine.Quarantined == startsAfterFailure {
+			t.Errorf("work began after the failure: %v, machine quarantined: %v", startsAfterFailure, machine.Quarantined)
+		}
+	}
+}
--- a/internal/simulation/quarantine_test.go
+++ b/internal/simulation/quarantine_test.go
@@ -51,22 +51,23 @@
 	name        string
 	replicas    int // of a service that keeps the machines from becoming empty
 	cancelAfter time.Duration
+	startsIn    time.Duration // within which another job starts
 	then        func(w *World)
 }
 
 var mistakenJobsScenarios = []mistakenJobsScenario{
-	{"they are cancelled", 3, 6 * time.Second, func(*World) {}},
-	{"they are not cancelled", 3, 0, func(*World) {}},
-	{"the leader changes before they are cancelled", 3, 8 * time.Second, func(w *World) {
+	{"they are cancelled", 3, 6 * time.Second, 5 * time.Second, func(*World) {}},
+	{"they are not cancelled", 3, 0, maxWaitDespiteCapacity, func(*World) {}},
+	{"the leader changes before they are cancelled", 3, 8 * time.Second, maxWaitDespiteCapacity, func(w *World) {
 		w.after(6*time.Second, func() { w.crashLeader(20 * time.Second) })
 	}},
-	{"the leader changes while they are cancelled", 3, 6 * time.Second, func(w *World) {
+	{"the leader changes while they are cancelled", 3, 6 * time.Second, maxWaitDespiteCapacity, func(w *World) {
 		w.after(6*time.Second+20*time.Millisecond, func() { w.crashLeader(20 * time.Second) })
 	}},
-	{"all controllers restart", 3, 0, func(w *World) {
+	{"all controllers restart", 3, 0, maxWaitDespiteCapacity, func(w *World) {
 		w.after(7*time.Second, func() { w.crashAll(4 * time.Second) })
 	}},
-	{"no service runs", 0, 6 * time.Second, func(*World) {}},
+	{"no service runs", 0, 6 * time.Second, maxWaitDespiteCapacity, func(*World) {}},
 }
 
 // TestMistakenJobsLeaveMachinesInUse: jobs that were submitted with a mistake fail on all machines,
@@ -95,7 +96,7 @@
 		users = append(users, w.submit(arrival{after: time.Duration(i) * 500 * time.Millisecond, job: withTaskResources(array(jobID(100+i), 1), 6, 1, 48), run: 5}))
 	}
 	w.watchWaitingJobs()
-	w.waitFor(t, maxWaitDespiteCapacity, "run-000020 starts", func() bool { return !users[0].job.startedAt.IsZero() })
+	w.waitFor(t, c.startsIn, "run-000020 starts", func() bool { return !users[0].job.startedAt.IsZero() })
 	w.waitUntilOver(t, maxWaitDespiteCapacity, users...)
 	if cordoned := w.cordonedMachines(); c.cancelAfter > 0 && cordoned > 0 {
 		t.Errorf("%d machines are still cordoned", cordoned)
