--- a/internal/coordination/agents/agents_test.go
+++ b/internal/coordination/agents/agents_test.go
@@ -358,3 +358,27 @@
 		}
 	}
 }
+
+// TestWithdrawnPreemptionNoticeEndsDrain: a machine with a preemption notice is drained. If a newer
+// heartbeat shows no notice any more, the machine was out of use for good.
+func TestWithdrawnPreemptionNoticeEndsDrain(t *testing.T) {
+	l := newTestLeader()
+	machine := l.machine("i-1", "a")
+	announced, seconds := heartbeat(machine, testTerm), 20.0
+	announced.PreemptionNoticeS = &seconds
+	l.Heartbeats.Accept(announced)
+	for _, c := range []struct {
+		withdrawn    bool
+		wantCordoned bool
+	}{{false, true}, {true, false}} {
+		if c.withdrawn {
+			l.Heartbeats.Accept(heartbeat(machine, testTerm))
+		}
+		l.state.Advance(tuning.DrainTime)
+		l.state.Heartbeat()
+		l.lifecycle.ReviewMachines()
+		if machine.Cordoned != c.wantCordoned || machine.SpotNotice != c.wantCordoned {
+			t.Errorf("notice withdrawn %v: cordoned %v, preemption notice %v", c.withdrawn, machine.Cordoned, machine.SpotNotice)
+		}
+	}
+}
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -129,11 +129,7 @@
 		// arrive at any time, and the machine may be gone.
 		h.env.RecordMachine(machine)
 	}
-	if heartbeat.PreemptionNoticeS != nil && !machine.SpotNotice {
-		machine.SpotNotice = true
-		h.env.RequestScheduling()
-		h.lifecycle.Drain(machine)
-	}
+	h.observePreemptionNotice(machine, heartbeat)
 	h.resolve(machine, heartbeat, differences)
 	if machine.Agent.TokenConfirmed {
 		h.recovery.AgentAccountedFor(machine.ID)
@@ -141,6 +137,20 @@
 	return machine
 }
 
+// observePreemptionNotice has a spot machine drained that the cloud is about to preempt. If a newer
+// heartbeat shows no notice any more, the drain has lost its reason, and ends like any other.
+func (h *Heartbeats) observePreemptionNotice(machine *cluster.Machine, heartbeat *protocol.Heartbeat) {
+	announced := heartbeat.PreemptionNoticeS != nil
+	if announced == machine.SpotNotice {
+		return
+	}
+	machine.SpotNotice = announced
+	h.env.RequestScheduling()
+	if announced {
+		h.lifecycle.Drain(machine)
+	}
+}
+
 // observeIncarnation stores the incarnation and sequence number of a heartbeat. A newer
 // incarnation of an agent has forgotten every attempt of an older one.
 func (h *Heartbeats) observeIncarnation(machine *cluster.Machine, heartbeat *protocol.Heartbeat) {
