--- a/internal/coordination/agents/reconciliation.go
+++ b/internal/coordination/agents/reconciliation.go
@@ -155,7 +155,7 @@
 	attempt := machine.Attempts[key]
 	if job := h.state.Jobs[key.Job]; entry.Cause == protocol.CauseDone && job != nil {
 		h.lifecycle.MarkDone(job, key.Index)
-		h.lifecycle.ObserveSuccess(machine, attempt)
+		h.lifecycle.ObserveSuccess(machine, job, attempt)
 	}
 	if attempt == nil {
 		return
--- a/internal/coordination/autoscaler/zone_reserve.go
+++ b/internal/coordination/autoscaler/zone_reserve.go
@@ -68,7 +68,7 @@
 func (as *Autoscaler) servicesByZone() map[protocol.ZoneName][]zoneReplicas {
 	services := map[protocol.ZoneName][]zoneReplicas{}
 	for _, job := range as.state.Jobs {
-		if !job.Spec.Service() || job.Cancelled || job.Failures.AttributedToJob > 0 {
+		if !job.Spec.Service() || job.Cancelled || job.Failures.AtFault {
 			continue
 		}
 		perZone := activePerZone(job)
--- a/internal/coordination/cluster/job.go
+++ b/internal/coordination/cluster/job.go
@@ -46,20 +46,6 @@
 	Write   WriteState
 }
 
-// FailureHistory is what the leader knows about the failures of a job's attempts.
-type FailureHistory struct {
-	Machines map[protocol.MachineID]bool // machines on which a task failed
-	// AttributedToJob counts how often failures were attributed to the job instead of to
-	// machines.
-	AttributedToJob int
-	// Refuted: another job succeeded on a machine after this one had failed there, and this one
-	// has not succeeded since. Its failures do not count against machines.
-	Refuted bool
-	// AvoidUntil maps machines that refused a task, or on which a task failed, to the time
-	// until which the job avoids them.
-	AvoidUntil map[protocol.MachineID]time.Time
-}
-
 // QueueState is what the scheduler keeps about a job between two cycles.
 type QueueState struct {
 	WithinGuarantee bool // the job fits into its team's guaranteed quota
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -87,6 +87,7 @@
 			return
 		}
 		l.lifecycle.ReviewMachines()
+		l.lifecycle.ReviewJobs()
 		l.autoscaler.Tick()
 		l.tickRecovery()
 		l.restoreMonitor.Tick()
--- a/internal/coordination/lifecycle/failure.go
+++ b/internal/coordination/lifecycle/failure.go
@@ -28,19 +28,22 @@
 
 // attributeError attributes a task's error to its machine. Once the job has failed on
 // tuning.MaxJobFailures machines, it attributes the errors to the job instead. The error of a
-// cancelled job counts against nobody.
+// cancelled job counts against nobody, and an error on a machine on which a job failed that works
+// elsewhere does not count against the job.
 func (m *Manager) attributeError(job *cluster.Job, machine *cluster.Machine) {
 	machine.EndTrialOf(job)
 	if job.Cancelled {
 		return
 	}
-	job.Failures.Machines[machine.ID] = true
+	if !m.failsWorkingJobs(machine) {
+		job.Failures.Machines[machine.ID] = true
+	}
 	job.Failures.AvoidUntil[machine.ID] = m.state.Now().Add(tuning.MachineFailureBackoff)
 	if len(job.Failures.Machines) >= tuning.MaxJobFailures {
 		m.attributeToJob(job)
 		return
 	}
-	if job.Failures.Refuted || !machine.RecordFailure(job.ID, m.state.Now()) {
+	if job.Failures.Refuted || job.Failures.AttributedToJob > 0 || !machine.RecordFailure(job.ID, m.state.Now()) {
 		return
 	}
 	if len(machine.FailedJobs) >= tuning.MaxMachineFailures && machine.Quarantine(m.state.Now()) {
@@ -49,16 +52,28 @@
 	}
 }
 
+// failsWorkingJobs reports whether a job that works elsewhere failed on a machine. Jobs that are not
+// in the model any more are done, or were cancelled after they had worked.
+func (m *Manager) failsWorkingJobs(machine *cluster.Machine) bool {
+	for id := range machine.FailedJobs {
+		if job := m.state.Jobs[id]; job == nil || m.works(job) {
+			return true
+		}
+	}
+	return false
+}
+
 // attributeToJob attributes a job's failures to the job itself, and no longer to the machines on
-// which it failed. The job is retried with growing pauses and only on free capacity: otherwise it
-// could preempt working tasks of lower priority again and again. The replicas of a service have
-// their own backoff.
+// which it failed. Until it works somewhere, the job is retried with growing pauses and, most of
+// the time, only on free capacity: otherwise it could preempt working tasks of lower priority again
+// and again. The replicas of a service have their own backoff.
 func (m *Manager) attributeToJob(job *cluster.Job) {
 	if job.Spec.Service() {
 		clear(job.Failures.Machines)
 	} else {
 		job.RetryAt = m.state.Now().Add(tuning.FailureBackoff << min(job.Failures.AttributedToJob, tuning.MaxFailureBackoffDoublings))
 		job.Failures.AttributedToJob++
+		job.Failures.Attribute(m.state.Now())
 	}
 	for _, other := range m.state.Machines {
 		delete(other.FailedJobs, job.ID)
--- a/internal/coordination/lifecycle/review.go
+++ b/internal/coordination/lifecycle/review.go
@@ -62,19 +62,17 @@
 	}
 }
 
-// ObserveSuccess handles the success of a task on a machine. The attempt is nil if it is not in the
-// model any more. A task that began before the last failure there says nothing about a quarantined
+// ObserveSuccess handles the success of a job's task on a machine. The attempt is nil if it is not
+// in the model any more. A task that began before the last failure there says nothing about a quarantined
 // machine.
-func (m *Manager) ObserveSuccess(machine *cluster.Machine, attempt *cluster.Attempt) {
+func (m *Manager) ObserveSuccess(machine *cluster.Machine, job *cluster.Job, attempt *cluster.Attempt) {
 	switch {
 	case attempt != nil && attempt.ShowsWorking():
 		m.machineWorks(attempt)
 	case !machine.Quarantined && machine.Trial == nil:
 		machine.ClearSuspicion()
 	}
-	if attempt != nil {
-		attempt.Job.Failures.Refuted = false
-	}
+	job.Failures.ShowWorking()
 }
 
 // machineWorks handles an attempt that shows that its machine works. So other jobs that failed
@@ -86,7 +84,7 @@
 			job.Failures.Refuted = true
 		}
 	}
-	attempt.Job.Failures.Refuted = false
+	attempt.Job.Failures.ShowWorking()
 	machine.ClearSuspicion()
 }
 
@@ -107,13 +105,25 @@
 // works reports whether a task of the job is done, or has run for long enough to show that the job
 // has no mistake.
 func (m *Manager) works(job *cluster.Job) bool {
-	if job.DoneTasks > 0 {
-		return true
-	}
+	return job.DoneTasks > 0 || m.runs(job)
+}
+
+// runs reports whether a task of the job has run for long enough to show that the job has no
+// mistake.
+func (m *Manager) runs(job *cluster.Job) bool {
 	for _, attempt := range job.Attempts {
-		if attempt.RanFor(tuning.WorkingRunTime, m.state.Now()) {
+		if attempt.RanFor(tuning.WorkingRunTime, m.state.Now()) && m.state.ConfirmedAlive(attempt.Machine) {
 			return true
 		}
 	}
 	return false
 }
+
+// ReviewJobs ends the blame of jobs that failed and now run.
+func (m *Manager) ReviewJobs() {
+	for _, job := range m.state.Jobs {
+		if len(job.Failures.Machines) > 0 && m.runs(job) {
+			job.Failures.ShowWorking()
+		}
+	}
+}
--- a/internal/coordination/lifecycle/review_test.go
+++ b/internal/coordination/lifecycle/review_test.go
@@ -134,6 +134,7 @@
 			l.PlaceAll(job, l.AddMachine("i-2", "big", "a"))
 			l.Run(job)
 			l.Advance(tuning.WorkingRunTime)
+			l.Heartbeat()
 			l.cancel(job)
 		}, false},
 		{"the jobs fail everywhere", func(l *testLeader, job *cluster.Job) {
@@ -190,3 +191,83 @@
 		}
 	}
 }
+
+// TestBlameOfJobEnds: a job to which its failures were attributed was never given machines again,
+// also after it had worked.
+func TestBlameOfJobEnds(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		then    func(l *testLeader, job *cluster.Job, machine *cluster.Machine)
+		atFault bool
+	}{
+		{"nothing happens", func(*testLeader, *cluster.Job, *cluster.Machine) {}, true},
+		{"a task succeeds", func(l *testLeader, job *cluster.Job, machine *cluster.Machine) {
+			l.ObserveSuccess(machine, job, job.Tasks[0].Active)
+		}, false},
+		{"a task runs for a while", func(l *testLeader, job *cluster.Job, _ *cluster.Machine) {
+			l.Run(job)
+			l.Advance(tuning.WorkingRunTime)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newTestLeader()
+			job := l.AddJob(clustertest.Array(1))
+			for _, id := range []protocol.MachineID{"i-1", "i-2", "i-3"} {
+				l.failAgainOn(job, l.AddMachine(id, "big", "a"))
+			}
+			machine := l.AddMachine("i-4", "big", "a")
+			l.PlaceAll(job, machine)
+			c.then(l, job, machine)
+			l.Heartbeat()
+			l.ReviewJobs()
+			if job.Failures.AtFault != c.atFault || (len(job.Failures.Machines) > 0) != c.atFault {
+				t.Errorf("at fault %v, failed on %d machines", job.Failures.AtFault, len(job.Failures.Machines))
+			}
+		})
+	}
+}
+
+// TestCapacityRetriesOfBlamedJobPause: a job that is at fault gets machines freed or requested after
+// pauses that double each time it fails. Failures on free capacity in between change nothing.
+func TestCapacityRetriesOfBlamedJobPause(t *testing.T) {
+	l := newTestLeader()
+	job := l.AddJob(clustertest.Array(1))
+	for _, id := range []protocol.MachineID{"i-1", "i-2", "i-3"} {
+		l.failAgainOn(job, l.AddMachine(id, "big", "a"))
+	}
+	machine := l.AddMachine("i-4", "big", "a")
+	for retry, pause := range []time.Duration{1, 2, 4, 8, 16, 32, 64, 64} {
+		pause *= tuning.CapacityRetryPause
+		l.Advance(pause - time.Second)
+		l.failAgainOn(job, machine)
+		if !job.Failures.FreeCapacityOnly(l.Now()) {
+			t.Errorf("retry %d: allowed before %v have passed", retry, pause)
+		}
+		l.Advance(time.Second)
+		if job.Failures.FreeCapacityOnly(l.Now()) {
+			t.Errorf("retry %d: not allowed after %v", retry, pause)
+		}
+		l.failAgainOn(job, machine)
+	}
+}
+
+// TestMachineThatFailsWorkingJobsSaysNothingAboutJob: a job was blamed for failures on machines on
+// which jobs failed that work elsewhere.
+func TestMachineThatFailsWorkingJobsSaysNothingAboutJob(t *testing.T) {
+	l := newTestLeader()
+	working, job := l.addRunningJob(clustertest.Array(1), l.AddMachine("i-0", "big", "a")), l.AddJob(clustertest.Array(1))
+	l.Advance(tuning.WorkingRunTime)
+	l.Heartbeat()
+	for _, id := range []protocol.MachineID{"i-1", "i-2", "i-3"} {
+		machine := l.AddMachine(id, "big", "a")
+		l.HandleExit(l.AddAttempt(working, 0, 2, machine, 1), failed)
+		working.Failures.ShowWorking()
+		l.failAgainOn(job, machine)
+		if !machine.Quarantined {
+			t.Errorf("%s is not quarantined", id)
+		}
+	}
+	if job.Failures.AtFault {
+		t.Error("the job is at fault")
+	}
+}
--- a/internal/coordination/scheduler/cycle.go
+++ b/internal/coordination/scheduler/cycle.go
@@ -55,14 +55,17 @@
 		return 0
 	}
 	if job.Spec.Gang() {
-		if job.Failures.AttributedToJob == 0 && sc.preemptOnImageLocalMachines(job) || sc.placeGang(job) {
+		if !job.Failures.AtFault && sc.preemptOnImageLocalMachines(job) || sc.placeGang(job) {
 			return 0
 		}
 	} else if tasks = sc.placeTasks(job, imageOptional); tasks == 0 {
 		return 0
 	}
-	if job.Failures.AttributedToJob > 0 {
-		return 0 // after failures attributed to it, a job gets free capacity only
+	if job.Failures.FreeCapacityOnly(sc.state.Now()) {
+		return 0
+	}
+	if job.Failures.AtFault && !job.Spec.Gang() {
+		tasks = 1 // enough to show whether the job works
 	}
 	tasks = min(tasks, sc.state.TasksWithinLimit(job))
 	if job.Spec.Gang() && tasks < len(job.Tasks) {
--- a/internal/coordination/scheduler/preemption_test.go
+++ b/internal/coordination/scheduler/preemption_test.go
@@ -48,7 +48,7 @@
 	high := clustertest.Gang(1, 2)
 	high.Priority = "high"
 	job := h.cluster.AddJob(high)
-	job.Failures.AttributedToJob = 1
+	job.Failures.Attribute(h.cluster.Now())
 	if demand := h.RunCycle(); len(demand) != 0 {
 		t.Errorf("%d jobs request machines", len(demand))
 	}
--- a/internal/simulation/quarantine_test.go
+++ b/internal/simulation/quarantine_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -135,3 +136,68 @@
 	w.waitUntilRunning(t, maxWaitDespiteCapacity, both)
 	w.expectRulesHeld(t)
 }
+
+// TestJobBlamedForFaultyMachinesRuns: a job fails on three faulty machines, the only ones with free
+// capacity, and is taken to be at fault. The machines are deleted. No machine was requested for the
+// job any more, and no work of lower priority stopped.
+func TestJobBlamedForFaultyMachinesRuns(t *testing.T) {
+	t.Parallel()
+	for _, spare := range []int{4, 0} { // machines that the cloud can create besides those of the start
+		t.Run(fmt.Sprint(spare, " more machines"), func(t *testing.T) {
+			t.Parallel()
+			shape := SmallShape()
+			shape.Machines, shape.Capacity = 5, 5+spare
+			w := startWorld(83, shape, 6*time.Second)
+			low := withCheckpoints(withQueue(array("run-000010", 8), "low", "free", "idle"), 15, 2)
+			w.submitAndWaitUntilRunning(t, 10*time.Second, low, 3000)
+			var faulty []*agent
+			for _, agent := range w.agentsInCreationOrder() {
+				if len(agent.tasks) == 0 {
+					faulty = append(faulty, agent)
+					agent.failsTasks = true
+				}
+			}
+			if len(faulty) != 3 {
+				t.Fatalf("%d machines are idle", len(faulty))
+			}
+			job := withTaskResources(array("run-000020", 2), 6, 1, 48)
+			if spare == 0 {
+				withTaskResources(job, 28, 4, 200) // needs a machine of its own
+			}
+			u := w.submit(arrival{job: job, run: 5})
+			w.Run(40 * time.Second)
+			for _, agent := range faulty {
+				agent.failsTasks = false
+			}
+			w.waitUntilOver(t, maxWaitDespiteCapacity, u)
+			w.expectRulesHeld(t)
+		})
+	}
+}
+
+// TestMistakenJobTakesLittleCapacity: a job that fails everywhere and is not cancelled has machines
+// requested and work stopped for it only after pauses that double.
+func TestMistakenJobTakesLittleCapacity(t *testing.T) {
+	t.Parallel()
+	shape := SmallShape()
+	shape.Machines, shape.Capacity = 4, 12
+	w := startWorld(84, shape, 6*time.Second)
+	low := withCheckpoints(withQueue(array("run-000010", 48), "low", "free", "idle"), 15, 2)
+	u := w.submit(arrival{job: low, run: 3000})
+	w.Run(120 * time.Second)
+	created, starts := len(w.cloud.hosts), sum(u.job.starts)
+	mistaken := w.submit(arrival{job: withQueue(array("run-000020", 4), "c", "free", "high"), alwaysFails: true})
+	const lasts = 600 * time.Second
+	w.Run(lasts)
+	created, stopped := len(w.cloud.hosts)-created, sum(u.job.starts)-starts
+	t.Logf("%d machines created, %d tasks of lower priority started again, %d starts of the job", created, stopped, sum(mistaken.job.starts))
+	tries := tuning.MaxJobFailures
+	for pause, total := tuning.CapacityRetryPause, time.Duration(0); total+pause <= lasts; pause *= 2 {
+		total += pause
+		tries++
+	}
+	if most := 4 * tries; stopped > most || created > most {
+		t.Errorf("want at most %d of each", most)
+	}
+	w.expectRulesHeld(t)
+}
--- a/internal/tuning/agents.go
+++ b/internal/tuning/agents.go
@@ -126,6 +126,11 @@
 	// MaxFailureBackoffDoublings is how often that pause may double: up to 40 s. Once all faults
 	// are over, no job may wait 90 s for its retry while there is free capacity.
 	MaxFailureBackoffDoublings = 2
+	// CapacityRetryPause is the pause until machines are freed or requested again for a job to which
+	// its failures were attributed.
+	CapacityRetryPause = 30 * time.Second
+	// MaxCapacityRetryDoublings is how often that pause may double: up to 32 minutes.
+	MaxCapacityRetryDoublings = 6
 	// ReplicaStableTime is how long a replica must have run for its exit not to count as
 	// one of a series of early exits.
 	ReplicaStableTime = 30 * time.Second
