--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -308,6 +308,8 @@
 	hello := protocol.AppendPeerFrame(nil, protocol.PeerHello{Node: "n1"})
 	otherVersion := bytes.Clone(hello)
 	otherVersion[2] = 0
+	unknownKind := bytes.Clone(hello)
+	unknownKind[3] = 99
 	oversized := bytes.Clone(hello)
 	oversized[4] = 0xff
 	for name, frames := range map[string][]byte{
@@ -317,7 +319,7 @@
 		"unknown peer":    protocol.AppendPeerFrame(nil, protocol.PeerHello{Node: "n9"}),
 		"no hello":        protocol.AppendPeerFrame(nil, protocol.PeerStatus{Term: 1}),
 		"two hellos":      append(bytes.Clone(hello), hello...),
-		"unknown kind":    append(bytes.Clone(hello), 'G', 'P', 1, 99, 0, 0, 0, 0),
+		"unknown kind":    append(bytes.Clone(hello), unknownKind...),
 	} {
 		conn, err := net.Dial("tcp", cfg.PeerListen)
 		if err != nil {
