--- a/internal/coordination/cluster/job.go
+++ b/internal/coordination/cluster/job.go
@@ -65,6 +65,9 @@
 	Queued     bool         // the job is in the committer's list of dirty jobs
 	DirtySince time.Time    // when the job was added to that list
 	InFlight   bool         // the transaction in flight writes this job
+	// ShowsRunning: the main record, as last written, says that a task has a placement, so users
+	// are told that the job is running.
+	ShowsRunning bool
 }
 
 // Task is one task of a job. It has at most one active attempt. Older attempts that may
--- a/internal/coordination/commit/job_records.go
+++ b/internal/coordination/commit/job_records.go
@@ -80,7 +80,9 @@
 		tasks, write.placed = recordContent(job, r)
 	}
 	if r == 0 {
-		write.value = storage.Encode(jobRecord(job, b.tx.writer, tasks))
+		record := jobRecord(job, b.tx.writer, tasks)
+		job.Write.ShowsRunning = record.Placed > 0
+		write.value = storage.Encode(record)
 	} else {
 		write.value = storage.Encode(storage.TaskRecord{Writer: b.tx.writer, Tasks: tasks})
 	}
--- a/internal/coordination/lifecycle/review.go
+++ b/internal/coordination/lifecycle/review.go
@@ -1,6 +1,9 @@
 package lifecycle
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/gappond/gappond/internal/coordination/cluster"
 	"github.com/gappond/gappond/internal/tuning"
 )
@@ -119,11 +122,27 @@
 	return false
 }
 
-// ReviewJobs ends the blame of jobs that failed and now run.
+// ReviewJobs ends the blame of jobs that failed and now run, and corrects the records of jobs that
+// have stopped running.
 func (m *Manager) ReviewJobs() {
+	var stopped []*cluster.Job
 	for _, job := range m.state.Jobs {
 		if len(job.Failures.Machines) > 0 && m.runs(job) {
 			job.Failures.ShowWorking()
 		}
+		if m.showsRunningWrongly(job) {
+			stopped = append(stopped, job)
+		}
+	}
+	slices.SortFunc(stopped, func(a, b *cluster.Job) int { return cmp.Compare(a.ID, b.ID) })
+	for _, job := range stopped {
+		m.env.RecordChanged(job, 0)
 	}
 }
+
+// showsRunningWrongly reports whether a job's record has shown it as running for a while although
+// none of its tasks has a placement. Most jobs are placed again sooner than that.
+func (m *Manager) showsRunningWrongly(job *cluster.Job) bool {
+	return job.Write.ShowsRunning && len(job.Attempts) == 0 && !job.Finished && !m.env.Unreadable(job.ID) &&
+		m.state.Now().Sub(job.Queue.WaitingSince) >= tuning.RunningStatusLag
+}
--- a/internal/coordination/loader/jobs.go
+++ b/internal/coordination/loader/jobs.go
@@ -20,7 +20,7 @@
 		Queue:    cluster.QueueState{WaitingSince: ld.state.Now()},
 		Records: cluster.RecordLayout{TasksPerRecord: record.TasksPerBaseRecord, Revisions: make([]protocol.Revision, max(record.BaseRecords(), record.TotalRecords)),
 			AbandonedParts: map[int]protocol.Revision{}},
-		Write: cluster.WriteState{Dirty: map[int]bool{}},
+		Write: cluster.WriteState{Dirty: map[int]bool{}, ShowsRunning: record.Placed > 0},
 	}
 	if job.ArrivalOrder == 0 {
 		job.ArrivalOrder = revision // the record has not been rewritten since its submission
--- a/internal/simulation/quarantine_test.go
+++ b/internal/simulation/quarantine_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
 	"github.com/gappond/gappond/internal/tuning"
 )
@@ -201,3 +202,32 @@
 	}
 	w.expectRulesHeld(t)
 }
+
+// maxStatusLag is how far a job's state as its user sees it may lag behind.
+const maxStatusLag = 3 * time.Second
+
+// TestStatusOfWaitingJobIsPending: a job whose tasks failed waits for its retry. Its user was told
+// "running" until a task was placed again.
+func TestStatusOfWaitingJobIsPending(t *testing.T) {
+	t.Parallel()
+	w := startWorld(85, SmallShape(), 6*time.Second)
+	u := w.submit(arrival{job: array("run-000001", 2), alwaysFails: true})
+	waitsSince, starts := w.Now, 0
+	for range 120 * 2 {
+		w.Run(500 * time.Millisecond)
+		if w.unplacedTasks(u) < 2 || sum(u.job.starts) != starts {
+			waitsSince, starts = w.Now, sum(u.job.starts)
+		}
+		c := w.nodes[0]
+		c.ask(statusQuery("run-000001"), func(_ int, body []byte) {
+			var status protocol.Status
+			if decode(body, &status); status.Phase == protocol.PhaseRunning && w.Now.Sub(waitsSince) > maxStatusLag {
+				t.Errorf("%s: the job is %s, no task has been on a machine for %v", w.clock(), status.Phase, w.Now.Sub(waitsSince))
+			}
+		})
+	}
+	if sum(u.job.starts) < 2*tuning.MaxJobFailures {
+		t.Errorf("only %d tasks started", sum(u.job.starts))
+	}
+	w.expectRulesHeld(t)
+}
--- a/internal/tuning/agents.go
+++ b/internal/tuning/agents.go
@@ -118,6 +118,9 @@
 	TrialInterval = 15 * time.Second
 	// WorkingRunTime is how long a task must have run to show that its machine works.
 	WorkingRunTime = 10 * time.Second
+	// RunningStatusLag is how long the record of a job without attempts may show it as running. Users
+	// may be told a state that is 3 s old, and the write and the next heartbeat take time too.
+	RunningStatusLag = time.Second
 	// MaxJobFailures is the number of different machines on which a job may fail before the
 	// failures are attributed to the job and not to the machines.
 	MaxJobFailures = 3
