--- a/internal/coordination/agents/agents_test.go
+++ b/internal/coordination/agents/agents_test.go
@@ -55,27 +55,28 @@
 	l.calls = append(l.calls, testCall{machine, done})
 }
 
-func (l *testLeader) Booting(*cluster.Machine) bool                    { return false }
-func (l *testLeader) Deleted(protocol.MachineID) bool                  { return false }
-func (l *testLeader) DeleteMachine(machine *cluster.Machine, _ string) { machine.Deleting = true }
-func (l *testLeader) RequestScheduling()                               {}
-func (l *testLeader) RecordMachine(*cluster.Machine)                   {}
-func (l *testLeader) RecordChanged(job *cluster.Job, record int)       { job.Write.Dirty[record] = true }
-func (l *testLeader) TokenConfirmed(*cluster.Machine)                  {}
-func (l *testLeader) HigherTokenSeen(*protocol.Heartbeat)              {}
-func (l *testLeader) Unreadable(protocol.JobID) bool                   { return false }
-func (l *testLeader) LogOnce(_, key string, _ ...any)                  { l.logged[key] = true }
-func (l *testLeader) MayCommand() bool                                 { return true }
-func (l *testLeader) TaskStarting(*cluster.Attempt)                    {}
-func (l *testLeader) Leads() bool                                      { return true }
-func (l *testLeader) AllPeersReachable() bool                          { return true }
-func (l *testLeader) ConfirmationGrace() time.Duration                 { return testGrace }
-func (l *testLeader) CommandsPending(machine *cluster.Machine)         { l.Delivery.Enqueue(machine) }
-func (l *testLeader) Recovering() bool                                 { return false }
-func (l *testLeader) StartsWithheld(*cluster.Job) bool                 { return false }
-func (l *testLeader) AwaitsRecordSplit(*cluster.Job) bool              { return false }
-func (l *testLeader) TaskPlaced(attempt *cluster.Attempt)              { attempt.Job.Write.Dirty[0] = true }
-func (l *testLeader) Preempt(victim *cluster.Attempt)                  { l.lifecycle.Preempt(victim) }
+func (l *testLeader) Booting(*cluster.Machine) bool                           { return false }
+func (l *testLeader) Deleted(protocol.MachineID) bool                         { return false }
+func (l *testLeader) DeleteMachine(machine *cluster.Machine, _ string)        { machine.Deleting = true }
+func (l *testLeader) RequestScheduling()                                      {}
+func (l *testLeader) RecordMachine(*cluster.Machine)                          {}
+func (l *testLeader) RecordChanged(job *cluster.Job, record int)              { job.Write.Dirty[record] = true }
+func (l *testLeader) TokenConfirmed(*cluster.Machine)                         {}
+func (l *testLeader) HigherTokenSeen(*protocol.Heartbeat)                     {}
+func (l *testLeader) Unreadable(protocol.JobID) bool                          { return false }
+func (l *testLeader) LogOnce(_, key string, _ ...any)                         { l.logged[key] = true }
+func (l *testLeader) MayCommand() bool                                        { return true }
+func (l *testLeader) TaskStarting(*cluster.Attempt)                           {}
+func (l *testLeader) Leads() bool                                             { return true }
+func (l *testLeader) AllPeersReachable() bool                                 { return true }
+func (l *testLeader) ConfirmationGrace() time.Duration                        { return testGrace }
+func (l *testLeader) CommandsPending(machine *cluster.Machine)                { l.Delivery.Enqueue(machine) }
+func (l *testLeader) Recovering() bool                                        { return false }
+func (l *testLeader) StartsWithheld(*cluster.Job) bool                        { return false }
+func (l *testLeader) AwaitsRecordSplit(*cluster.Job) bool                     { return false }
+func (l *testLeader) MachinesObtainable(*cluster.Job, protocol.ZoneName) bool { return true }
+func (l *testLeader) TaskPlaced(attempt *cluster.Attempt)                     { attempt.Job.Write.Dirty[0] = true }
+func (l *testLeader) Preempt(victim *cluster.Attempt)                         { l.lifecycle.Preempt(victim) }
 func (l *testLeader) Stop(attempt *cluster.Attempt, graceS float64) {
 	l.lifecycle.Stop(attempt, graceS)
 }
--- a/internal/coordination/autoscaler/offer.go
+++ b/internal/coordination/autoscaler/offer.go
@@ -66,6 +66,12 @@
 	return offers
 }
 
+// MachinesObtainable reports whether the cloud may create machines for a job in a zone, or in any
+// zone if zone is "". It may not if it has just refused each offer that the job may use.
+func (as *Autoscaler) MachinesObtainable(job *cluster.Job, zone protocol.ZoneName) bool {
+	return len(as.offers(job, zone)) > 0
+}
+
 // appendOffers appends the offers of a machine type in a zone that a job may use, without those
 // that lack capacity at present.
 func (as *Autoscaler) appendOffers(list []pricedOffer, job *cluster.Job, machineType *protocol.MachineType, zone protocol.ZoneName) []pricedOffer {
--- a/internal/coordination/autoscaler/scale_in.go
+++ b/internal/coordination/autoscaler/scale_in.go
@@ -28,7 +28,7 @@
 	case len(machine.Attempts) > 0 || !machine.Agent.Heard || machine.Agent.LeaseExpired:
 	case machine.Cordoned:
 		as.DeleteMachine(machine, "drained")
-	case machine.ReservedFor == nil && as.state.Now().Sub(machine.IdleSince) > as.state.Config.Operator.MachineIdleTimeout &&
+	case machine.ReservedFor == nil && !as.state.Now().Before(machine.KeepUntil) && as.state.Now().Sub(machine.IdleSince) > as.state.Config.Operator.MachineIdleTimeout &&
 		!as.keepAsSpare(machine, spares) && !as.zoneReserve[machine]:
 		as.DeleteMachine(machine, "idle")
 	}
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -36,6 +36,11 @@
 	// ReservedFor is the job for which the free capacity is reserved, nil if there is none.
 	ReservedFor   *Job
 	ReservedUntil time.Time
+	// KeepUntil is the time until which the machine is not deleted for being idle, because a gang
+	// that waits for more capacity would use it.
+	KeepUntil time.Time
+	// Hold limits how long the free capacity is reserved for gangs that wait.
+	Hold Hold
 
 	Record           *MachineRecord // shared with other machines of the zone; nil if none
 	RecordEntryBytes int            // upper bound of the size of its entry in Record
@@ -51,6 +56,30 @@
 	SizeGB float64
 }
 
+// Hold is the time for which a machine's free capacity has been reserved, without a break, for gangs
+// that wait for more capacity. Other reservations do not count.
+type Hold struct {
+	Since, Until time.Time
+	NotBefore    time.Time // earliest time of the next reservation after a long one
+}
+
+// Extend reserves the capacity for the given time. It returns false and begins a pause if that would
+// exceed the limit, and returns false during the pause.
+func (h *Hold) Extend(now time.Time, by, limit, pause time.Duration) bool {
+	if now.Before(h.NotBefore) {
+		return false
+	}
+	if now.Sub(h.Until) > by {
+		h.Since = now
+	}
+	if now.Add(by).Sub(h.Since) > limit {
+		h.NotBefore = now.Add(pause)
+		return false
+	}
+	h.Until = now.Add(by)
+	return true
+}
+
 // ReserveFor reserves the free capacity for a job. It replaces a reservation for another job.
 func (m *Machine) ReserveFor(job *Job, until time.Time) {
 	if m.ReservedFor != job {
--- a/internal/coordination/clustertest/environment.go
+++ b/internal/coordination/clustertest/environment.go
@@ -1,6 +1,9 @@
 package clustertest
 
-import "github.com/gappond/gappond/internal/coordination/cluster"
+import (
+	"github.com/gappond/gappond/internal/coordination/cluster"
+	"github.com/gappond/gappond/internal/protocol"
+)
 
 // Environment is a fake of the leader that a scheduler calls. It returns what the test has set,
 // and stops attempts in the cluster model as a leader would. It implements
@@ -11,6 +14,7 @@
 	InRecovery    bool                  // result of Recovering
 	Withheld      map[*cluster.Job]bool // jobs that must not start tasks
 	AwaitingSplit map[*cluster.Job]bool // gangs that wait until a record is split
+	NoMachines    bool                  // the cloud has refused all machines
 
 	Placed    []*cluster.Attempt // attempts that were placed, in order
 	Preempted []*cluster.Attempt // attempts that were preempted, in order
@@ -29,6 +33,9 @@
 // AwaitsRecordSplit implements scheduler.Environment.
 func (e *Environment) AwaitsRecordSplit(job *cluster.Job) bool { return e.AwaitingSplit[job] }
 
+// MachinesObtainable implements scheduler.Environment.
+func (e *Environment) MachinesObtainable(*cluster.Job, protocol.ZoneName) bool { return !e.NoMachines }
+
 // TaskPlaced implements scheduler.Environment.
 func (e *Environment) TaskPlaced(attempt *cluster.Attempt) { e.Placed = append(e.Placed, attempt) }
 
--- a/internal/coordination/commit/leader_test.go
+++ b/internal/coordination/commit/leader_test.go
@@ -295,6 +295,7 @@
 func (l *leader) AwaitsRecordSplit(job *cluster.Job) bool { return l.committer.AwaitsRecordSplit(job) }
 
 // TaskPlaced implements scheduler.Environment.
+func (l *leader) MachinesObtainable(*cluster.Job, protocol.ZoneName) bool { return true }
 func (l *leader) TaskPlaced(attempt *cluster.Attempt) {
 	l.committer.MarkDirty(attempt.Job, attempt.Job.RecordOf(attempt.Key.Index))
 }
--- a/internal/coordination/scheduler/cycle.go
+++ b/internal/coordination/scheduler/cycle.go
@@ -75,11 +75,11 @@
 }
 
 // freeCapacityFor preempts work for a waiting job. For a gang that has waited longer than the
-// backfill barrier delay, it also reserves machines.
+// backfill barrier delay, it may also reserve machines.
 func (sc *Scheduler) freeCapacityFor(job *cluster.Job, tasks int) {
 	sc.preemptFor(job, tasks)
 	if job.Spec.Gang() && sc.state.Now().Sub(job.Queue.WaitingSince) > sc.state.Config.Operator.BackfillBarrierDelay {
-		sc.currentCycle().reserveMachines(job)
+		sc.reserveMachines(job)
 	}
 }
 
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -28,6 +28,9 @@
 	// AwaitsRecordSplit reports whether a record of the gang must be split before the gang's
 	// placement can be written. It also marks such records to be split.
 	AwaitsRecordSplit(job *cluster.Job) bool
+	// MachinesObtainable reports whether the cloud may create machines for a job in a zone, or in
+	// any zone if zone is "": it has not refused all of them recently.
+	MachinesObtainable(job *cluster.Job, zone protocol.ZoneName) bool
 	// TaskPlaced schedules a new placement of a task to be written.
 	TaskPlaced(attempt *cluster.Attempt)
 	// Preempt stops an attempt to free its capacity for a waiting job.
--- a/internal/coordination/scheduler_environment.go
+++ b/internal/coordination/scheduler_environment.go
@@ -1,6 +1,9 @@
 package coordination
 
-import "github.com/gappond/gappond/internal/coordination/cluster"
+import (
+	"github.com/gappond/gappond/internal/coordination/cluster"
+	"github.com/gappond/gappond/internal/protocol"
+)
 
 // schedulerEnvironment implements scheduler.Environment.
 type schedulerEnvironment struct{ leaderEnvironment }
@@ -15,6 +18,11 @@
 	return se.l.committer.AwaitsRecordSplit(job)
 }
 
+// MachinesObtainable implements scheduler.Environment.
+func (se schedulerEnvironment) MachinesObtainable(job *cluster.Job, zone protocol.ZoneName) bool {
+	return se.l.autoscaler.MachinesObtainable(job, zone)
+}
+
 // TaskPlaced implements scheduler.Environment.
 func (se schedulerEnvironment) TaskPlaced(attempt *cluster.Attempt) {
 	if attempt.Key.Number > 1 {
--- a/internal/tuning/scheduling.go
+++ b/internal/tuning/scheduling.go
@@ -66,6 +66,14 @@
 	// RemainingTaskPenalty is how far an array moves back in the queue for every task that is not
 	// done. If not all arrays can meet their objectives, small ones still can.
 	RemainingTaskPenalty = 1500 * time.Millisecond
+	// ReservationHorizon is how far ahead the end of a task may be for its capacity to count as
+	// soon free for a gang that reserves machines.
+	ReservationHorizon = 60 * time.Second
+	// MaxHoldTime is how long a free machine is held for waiting gangs at a time, below the
+	// 90 s for which no job may wait beside free capacity.
+	MaxHoldTime = 80 * time.Second
+	// HoldPause is how long the jobs behind the gangs may take the machine after that.
+	HoldPause = 20 * time.Second
 	// ReservationTimeout is how long capacity freed by preemption is reserved for its job.
 	ReservationTimeout = 25 * time.Second
 )
