--- a/internal/coordination/scheduler/reservation.go
+++ b/internal/coordination/scheduler/reservation.go
@@ -59,6 +59,7 @@
 		return true
 	}
 	missing := len(job.Tasks)
+	sc.currentCycle().machinesExamined += len(sc.state.OrderedMachines)
 	for _, machine := range sc.state.OrderedMachines {
 		if zone != "" && machine.Zone != zone || !sc.mayServe(machine, job) {
 			continue
