--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/gappond/gappond/internal/coordination"
@@ -210,8 +211,14 @@
 	c.w.maxConcurrentCalls = max(c.w.maxConcurrentCalls, c.callsInFlight)
 	generation := c.generation
 	c.w.call(c.name, a.Address, a.Timeout, func(respond responseFunc) {
-		if agent := c.w.agents[protocol.MachineID(a.Address)]; agent != nil {
-			agent.serve(a.Method, a.Path, a.Body, respond)
+		machine := protocol.MachineID(a.Address)
+		if agent := c.w.agents[machine]; agent != nil {
+			agent.serve(a.Method, a.Path, a.Body, func(status int, body []byte) {
+				if status == http.StatusOK && a.Path == protocol.PathCommands {
+					c.w.noteExecutedCall(executedCall{machine, a.Body})
+				}
+				respond(status, body)
+			})
 		}
 	}, func(status int, body []byte) {
 		if c.generation == generation {
--- a/internal/simulation/fault_combinations_test.go
+++ b/internal/simulation/fault_combinations_test.go
@@ -271,6 +271,18 @@
 			w.submit(arrival{job: array(jobID(810000+i), 1), run: 4, cancelAfter: cancel})
 		})
 	}, maxCancelledStarts: 10},
+	{name: "executed calls arrive again, jobs are cancelled, machines are drained, controllers restart within a second", inject: func(w *World) {
+		w.delayCommandCopies(0.5, 110*time.Second)
+		w.every(11*time.Second, 9, func(i int) {
+			w.cancelRunningJobs(2, 0)
+			for _, k := range w.randomMachines(1) {
+				k.announcePreemption(20)
+			}
+			if i%2 == 0 {
+				w.nodes[i/2%len(w.nodes)].crash(w.between(50*time.Millisecond, 900*time.Millisecond))
+			}
+		})
+	}, maxCancelledStarts: 4},
 }
 
 // TestFaultCombinations runs every combination of faults with a few seeds and with jobs of every
--- a/internal/simulation/fault_injection_test.go
+++ b/internal/simulation/fault_injection_test.go
@@ -51,6 +51,13 @@
 	awaitLeader()
 }
 
+// delayCommandCopies has a share of the calls that agents execute within d arrive a second time, up
+// to three agent leases late.
+func (w *World) delayCommandCopies(share float64, d time.Duration) {
+	w.commandCopyShare, w.maxCommandCopyDelay = share, 3*secs(w.shape.Agents.LeaseS)
+	w.after(d, func() { w.commandCopyShare, w.maxCommandCopyDelay = 0, 0 })
+}
+
 // cancelRunningJobs has users cancel up to n jobs whose first task is on a machine, within 200 ms.
 // If hang is not zero, the machines of about half of these tasks hang for that long.
 func (w *World) cancelRunningJobs(n int, hang time.Duration) {
--- a/internal/simulation/fault_kinds_test.go
+++ b/internal/simulation/fault_kinds_test.go
@@ -158,10 +158,21 @@
 // randomDowntime returns a random time for which a crashed controller is down.
 func (w *World) randomDowntime() time.Duration { return w.between(200*time.Millisecond, 6*time.Second) }
 
+// commandCopiesKind is the kind of fault in which half of the calls that agents execute arrive once
+// more, up to three agent leases late. It is not among faultKinds, so that the seeds of the other
+// random runs keep their faults.
+var commandCopiesKind = faultKind{"copies of calls arrive late", func(w *World, d faultParameters) {
+	w.delayCommandCopies(0.5, 2*d.duration)
+}}
+
 // injectFault injects one fault of a random kind and returns a description of it.
-func (w *World) injectFault() string {
+func (w *World) injectFault() string { return w.injectFaultOf(faultKinds) }
+
+// injectFaultOf injects one fault, of a random one of the given kinds, and returns a description of
+// it.
+func (w *World) injectFaultOf(kinds []faultKind) string {
 	d := w.drawFaultParameters()
-	kind := faultKinds[w.rng.IntN(len(faultKinds))]
+	kind := kinds[w.rng.IntN(len(kinds))]
 	kind.inject(w, d)
 	var machine protocol.MachineID
 	if d.machine != nil {
--- a/internal/simulation/fingerprint_test.go
+++ b/internal/simulation/fingerprint_test.go
@@ -138,7 +138,9 @@
 
 // randomFaultsScenario returns a run with random faults in a deployment of a shape.
 func randomFaultsScenario(shape Shape) func(seed uint64, f *fingerprint) {
-	return func(seed uint64, f *fingerprint) { f.attach(NewWithShape(seed, logs(), shape)).runWithFaults() }
+	return func(seed uint64, f *fingerprint) {
+		f.attach(NewWithShape(seed, logs(), shape)).runWithFaults(faultKinds)
+	}
 }
 
 // fingerprintScenarios returns scenarios that together exercise everything that a controller does.
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -69,15 +69,16 @@
 				shape = tinyCPUShape()
 			}
 			shape.Recovery = seed%4 > 1
-			checkRandomRun(t, uint64(seed), shape)
+			checkRandomRun(t, uint64(seed), shape, faultKinds)
 		})
 	}
 }
 
-// checkRandomRun performs a random run and reports every broken rule, and the faults of the run.
-func checkRandomRun(t *testing.T, seed uint64, shape Shape) {
+// checkRandomRun performs a random run with faults of the given kinds and reports every broken rule,
+// and the faults of the run.
+func checkRandomRun(t *testing.T, seed uint64, shape Shape, kinds []faultKind) {
 	w := NewWithShape(seed, logs(), shape)
-	faults := w.runWithFaults()
+	faults := w.runWithFaults(kinds)
 	// Twice the usual limit, because faults occur every few seconds for four minutes.
 	w.checkServed(2 * maxLargestJobWait)
 	if w.rules.started == 0 {
@@ -91,13 +92,13 @@
 	}
 }
 
-// runWithFaults submits jobs, injects overlapping faults and runs until all jobs are over. It
-// returns the faults.
-func (w *World) runWithFaults() (faults []string) {
+// runWithFaults submits jobs, injects overlapping faults of the given kinds and runs until all jobs
+// are over. It returns the faults.
+func (w *World) runWithFaults(kinds []faultKind) (faults []string) {
 	w.submitMixedJobs(24, 150*time.Second)
 	for w.elapsed() < 240*time.Second {
 		w.Run(w.between(time.Second, 16*time.Second))
-		faults = append(faults, w.clock()+" "+w.injectFault())
+		faults = append(faults, w.clock()+" "+w.injectFaultOf(kinds))
 	}
 	w.Run(90 * time.Second)
 	w.faultsEndedAt = w.Now
--- a/internal/simulation/small_deployments_test.go
+++ b/internal/simulation/small_deployments_test.go
@@ -39,7 +39,7 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			checkRandomRun(t, uint64(40_000+seed), smallDeployment(uint64(seed)))
+			checkRandomRun(t, uint64(40_000+seed), smallDeployment(uint64(seed)), faultKinds)
 		})
 	}
 }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -58,6 +58,7 @@
 	network
 	userBehaviour
 	heartbeatCopies
+	commandCopies
 	activity
 
 	shape    Shape
@@ -85,6 +86,21 @@
 	recordedHeartbeats [][]byte
 }
 
+// commandCopies controls duplicates of calls that agents have executed and responded to, as a network
+// may deliver them.
+type commandCopies struct {
+	commandCopyShare    float64       // share of the calls that arrive a second time
+	maxCommandCopyDelay time.Duration // the longest delay of a copy
+	recordCommands      bool          // every call that agents execute is recorded, to be replayed later
+	recordedCommands    []executedCall
+}
+
+// executedCall is a call that an agent has executed and responded to.
+type executedCall struct {
+	machine protocol.MachineID
+	body    []byte
+}
+
 // activity counts the work of the controllers.
 type activity struct {
 	steps              int // of all controllers
