An agent forgets an attempt only once it would refuse a copy of the attempt's start

A direct start that was carried out and answered reached the machine once more after the attempt was stopped and forgotten, and started it again.

Cause: action on a right that had not lapsed where it is enforced. The answer to a start was taken as proof that the command is used up, but the agent checks only session and token, and both still matched. Only starts without an answer were kept from being forgotten.

Change: every direct start pins its attempt under its token. If an agent shows an exited attempt that is pinned, the response to its heartbeat carries a newer token: the revision of a transaction that this leader committed. The attempt is forgotten once the agent's own heartbeat shows a token above that of the start. The same ends the pins of starts without an answer, which lasted the whole term.

Why it works: the agent refuses a lower token however late the copy is. The revision was committed under the guard of the leader record, so it is above every token given out before and below the term of each later leader, of any release. Starts in responses to heartbeats are never carried out late and need none of this. Only agents with something to forget are shown a newer token, and none while a call to it is in flight, which would be refused.

--- a/internal/coordination/agents/agents_test.go
+++ b/internal/coordination/agents/agents_test.go
@@ -28,6 +28,7 @@
 	scheduler *scheduler.Scheduler
 	calls     []testCall
 	logged    map[string]bool
+	deleted   map[protocol.MachineID]bool
 }
 
 // testCall is a call to an agent that is in flight.
@@ -56,7 +57,7 @@
 }
 
 func (l *testLeader) Booting(*cluster.Machine) bool                           { return false }
-func (l *testLeader) Deleted(protocol.MachineID) bool                         { return false }
+func (l *testLeader) Deleted(id protocol.MachineID) bool                      { return l.deleted[id] }
 func (l *testLeader) DeleteMachine(machine *cluster.Machine, _ string)        { machine.Deleting = true }
 func (l *testLeader) RequestScheduling()                                      {}
 func (l *testLeader) RecordMachine(*cluster.Machine)                          {}
@@ -165,7 +166,8 @@
 }
 
 // TestUnansweredStartPinsAttempt: a direct start without a response may arrive at any later
-// time. Its attempt is kept, is started before it is stopped, and is never forgotten.
+// time. Its attempt is kept, is started before it is stopped, and is not forgotten under the same
+// fencing token.
 func TestUnansweredStartPinsAttempt(t *testing.T) {
 	l := newTestLeader()
 	machine, job := l.machine("i-1", "a"), l.job(protocol.ShapeGang, 1)
--- a/internal/coordination/agents/commands.go
+++ b/internal/coordination/agents/commands.go
@@ -118,35 +118,33 @@
 }
 
 // isForgettable reports whether an agent may forget an exited attempt: its result is stored,
-// and no late start of it can arrive.
+// and the agent refuses every direct start of it that may still arrive.
 func (d *Delivery) isForgettable(machine *cluster.Machine, exited protocol.TaskStatus) bool {
-	id, index, _ := protocol.SplitTask(exited.Task)
-	key := cluster.AttemptID{Job: id, Index: index, Number: exited.Attempt}
-	if machine.Delivery.MustNotForget[key] || machine.Attempts[key] != nil || d.env.Unreadable(id) {
+	id := exitedID(exited)
+	if _, mayArrive := machine.Delivery.DirectStarts[id]; mayArrive || machine.Attempts[id] != nil || d.env.Unreadable(id.Job) {
 		return false
 	}
-	job := d.state.Jobs[id]
-	if job == nil || index >= len(job.Tasks) {
+	job := d.state.Jobs[id.Job]
+	if job == nil || id.Index >= len(job.Tasks) {
 		return true
 	}
-	return exited.Cause != protocol.CauseDone || !job.Write.InFlight && !job.Write.Dirty[job.RecordOf(index)]
+	return exited.Cause != protocol.CauseDone || !job.Write.InFlight && !job.Write.Dirty[job.RecordOf(id.Index)]
 }
 
 // forgetIsDue reports whether to send a command to forget an exited attempt now. The command is
 // not repeated at once, because the agent may not have reported its effect yet, unless the task
 // is to start again on the same machine.
 func (d *Delivery) forgetIsDue(machine *cluster.Machine, exited protocol.TaskStatus) bool {
-	id, index, _ := protocol.SplitTask(exited.Task)
-	key := cluster.AttemptID{Job: id, Index: index, Number: exited.Attempt}
+	id := exitedID(exited)
 	for other := range machine.Attempts {
-		if other.Job == id && other.Index == index {
+		if other.Job == id.Job && other.Index == id.Index {
 			return true
 		}
 	}
 	now := d.state.Now()
-	if now.Sub(machine.Delivery.ForgetSentAt[key]) < tuning.CommandResendDelay {
+	if now.Sub(machine.Delivery.ForgetSentAt[id]) < tuning.CommandResendDelay {
 		return false
 	}
-	machine.Delivery.ForgetSentAt[key] = now
+	machine.Delivery.ForgetSentAt[id] = now
 	return true
 }
--- a/internal/coordination/agents/delivery.go
+++ b/internal/coordination/agents/delivery.go
@@ -22,9 +22,10 @@
 }
 
 // Delivery sends commands to agents: in the responses to heartbeats, and in direct calls if
-// they should not wait for a heartbeat. A direct start without a response may arrive at any
-// later time, but does nothing where the agent holds the attempt. So the attempt is pinned: to
-// end it, the agent is told to start it and to stop it, and is never told to forget it.
+// they should not wait for a heartbeat. A direct start, or a copy of it, may arrive at any later
+// time, but does nothing where the agent holds the attempt. So the attempt is pinned: to end one
+// whose start got no response, the agent is told to start it and to stop it, and it is told to
+// forget an attempt only when it has shown a newer fencing token than that of the start.
 type Delivery struct {
 	state      *cluster.State
 	lifecycle  *lifecycle.Manager
@@ -34,6 +35,7 @@
 	env        DeliveryEnvironment
 	log        *slog.Logger
 	term       protocol.Term
+	newest     protocol.Term      // newest token that this leader may show to agents
 	pending    []*cluster.Machine // machines with commands that should not wait for a heartbeat
 }
 
@@ -88,7 +90,7 @@
 func (d *Delivery) call(machine *cluster.Machine, commands []protocol.Command) {
 	starts := d.noteStartsInFlight(machine, commands)
 	machine.Delivery.InFlight = true
-	batch := protocol.CommandBatch{FencingToken: d.term, Incarnation: machine.Agent.Incarnation, Commands: commands}
+	batch := protocol.CommandBatch{FencingToken: d.tokenFor(machine), Incarnation: machine.Agent.Incarnation, Commands: commands}
 	d.calls.SendCommands(machine, batch, func(result CallResult) {
 		machine.Delivery.InFlight = false
 		answered := result.Outcome == Executed || result.Outcome == Refused
@@ -98,7 +100,6 @@
 				continue
 			}
 			attempt.MarkDirectStartUnanswered()
-			machine.Delivery.MustNotForget[attempt.ID()] = true
 		}
 		if !answered {
 			d.retryUnanswered(machine)
@@ -122,6 +123,7 @@
 		id, index, _ := protocol.SplitTask(command.Task)
 		if attempt := machine.Attempts[cluster.AttemptID{Job: id, Index: index, Number: command.Attempt}]; attempt != nil {
 			attempt.BeginDirectStart(d.state.Now())
+			machine.Delivery.DirectStarts[attempt.ID()] = d.tokenFor(machine)
 			starts = append(starts, attempt)
 		}
 	}
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -76,10 +76,10 @@
 	fromCall                    // in the response to a call
 )
 
-// RefuseHigherToken refuses a heartbeat whose fencing token is above this leader's, because the
-// agent would ignore any response. It reports whether it refused the heartbeat.
+// RefuseHigherToken refuses a heartbeat whose fencing token is above all that this leader has sent to
+// the agent, because the agent would ignore any response. It reports whether it refused the heartbeat.
 func (h *Heartbeats) RefuseHigherToken(heartbeat *protocol.Heartbeat) (refused bool) {
-	if heartbeat.FencingToken <= h.term {
+	if heartbeat.FencingToken <= h.delivery.newestTokenOf(heartbeat.Machine) || h.fleet.Deleted(heartbeat.Machine) {
 		return false
 	}
 	// Another controller has the right to command agents by now, or the store was restored.
@@ -95,7 +95,9 @@
 		return HeartbeatResult{Outcome: Stale}
 	}
 	machine.CountIneffectiveResponses(heartbeat)
-	return HeartbeatResult{Outcome: Accepted, FencingToken: h.term, Commands: h.delivery.CommandsForResponse(machine)}
+	h.delivery.raiseToken(machine)
+	commands := h.delivery.CommandsForResponse(machine)
+	return HeartbeatResult{Outcome: Accepted, FencingToken: h.delivery.tokenFor(machine), Commands: commands}
 }
 
 // ObserveCallResult processes the heartbeat in an agent's response to a call.
@@ -155,7 +157,7 @@
 // incarnation of an agent has forgotten every attempt of an older one.
 func (h *Heartbeats) observeIncarnation(machine *cluster.Machine, heartbeat *protocol.Heartbeat) {
 	if heartbeat.Incarnation > machine.Agent.Incarnation {
-		machine.Delivery.MustNotForget = map[cluster.AttemptID]bool{}
+		clear(machine.Delivery.DirectStarts)
 		if machine.Agent.TokenConfirmed && h.state.Now().Sub(machine.Agent.RespondedAt) < config.Seconds(h.state.Config.Cluster.Agents.LeaseS) {
 			// The agent's lease expired although its heartbeats got responses all the time.
 			machine.Agent.IneffectiveResponses = tuning.MaxIneffectiveResponses
@@ -172,7 +174,8 @@
 		machine.IdleSince = now
 		h.delivery.Enqueue(machine) // its commands waited until the agent was heard
 	}
-	if confirmed := heartbeat.FencingToken == h.term; confirmed != machine.Agent.TokenConfirmed {
+	machine.ObserveToken(heartbeat.FencingToken)
+	if confirmed := heartbeat.FencingToken >= h.term; confirmed != machine.Agent.TokenConfirmed {
 		machine.Agent.TokenConfirmed = confirmed
 		h.env.RequestScheduling()
 	}
--- a/internal/coordination/agents/reconciliation.go
+++ b/internal/coordination/agents/reconciliation.go
@@ -160,9 +160,6 @@
 	if attempt == nil {
 		return
 	}
-	if attempt.StartMayArrive() {
-		machine.Delivery.MustNotForget[key] = true
-	}
 	attempt.ObserveExit()
 	h.lifecycle.HandleExit(attempt, entry)
 	h.lifecycle.RemoveGone(attempt)
--- a/internal/coordination/cluster/agent.go
+++ b/internal/coordination/cluster/agent.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,7 +13,8 @@
 	Incarnation    protocol.Incarnation // newest known incarnation
 	Sequence       protocol.Sequence    // newest known sequence number within the incarnation
 	Heard          bool                 // this leader has received a heartbeat of the agent
-	TokenConfirmed bool                 // the agent's newest heartbeat has this leader's fencing token
+	Token          protocol.Term        // highest fencing token that the agent has shown in its newest heartbeat
+	TokenConfirmed bool                 // it is this leader's term or a newer token of this leader
 	HigherToken    protocol.Term        // a token above this leader's term that the agent has reported
 	LastHeartbeat  time.Time            // arrival of the newest heartbeat, alone or in the response to a call
 	RespondedAt    time.Time            // last response to a heartbeat: the agent's lease starts no later
@@ -34,16 +36,31 @@
 
 // CommandDelivery is the state of command delivery to an agent.
 type CommandDelivery struct {
-	Queued        bool               // in the leader's list of machines with commands to send
-	InFlight      bool               // a call to the agent is in progress
-	CallNotBefore time.Time          // earliest time of the next call
-	MustNotForget map[AttemptID]bool // attempts that the agent must not be told to forget
+	Queued        bool          // in the leader's list of machines with commands to send
+	InFlight      bool          // a call to the agent is in progress
+	CallNotBefore time.Time     // earliest time of the next call
+	Token         protocol.Term // fencing token of the messages to the agent if it is above the leader's term
+	// DirectStarts holds, by attempt, the fencing token of its newest direct start, as long as the
+	// agent would execute that command or a copy of it. The agent must then not forget the attempt.
+	DirectStarts map[AttemptID]protocol.Term
 	// ForgetSentAt is the time at which the agent was last told to forget an attempt that it
 	// still reports.
 	ForgetSentAt map[AttemptID]time.Time
 	Orphans      []AttemptID // reported attempts of unknown jobs or tasks, which must be stopped
 }
 
+// ObserveToken records the fencing token that the agent's newest heartbeat shows. The agent refuses
+// every direct start that was sent under a lower one, however late it arrives.
+func (m *Machine) ObserveToken(token protocol.Term) {
+	m.Agent.Token = token
+	maps.DeleteFunc(m.Delivery.DirectStarts, func(_ AttemptID, sent protocol.Term) bool { return sent < token })
+	for id, attempt := range m.Attempts {
+		if _, accepted := m.Delivery.DirectStarts[id]; !accepted {
+			attempt.MarkDirectStartRefused()
+		}
+	}
+}
+
 // ShowsExited reports whether the newest heartbeat contains the attempt as exited.
 func (m *Machine) ShowsExited(key AttemptID) bool {
 	name := protocol.TaskName(key.Job, key.Index)
--- a/internal/coordination/cluster/attempt.go
+++ b/internal/coordination/cluster/attempt.go
@@ -93,6 +93,10 @@
 	a.StartUnanswered = true
 }
 
+// MarkDirectStartRefused records that the agent would refuse a direct start that got no response,
+// if it still arrived.
+func (a *Attempt) MarkDirectStartRefused() { a.StartUnanswered = false }
+
 // StartMayArrive reports whether a direct start command may still arrive at the agent.
 func (a *Attempt) StartMayArrive() bool { return a.StartUnanswered || a.StartsInFlight > 0 }
 
--- a/internal/coordination/cluster/state.go
+++ b/internal/coordination/cluster/state.go
@@ -144,7 +144,7 @@
 	return &Machine{
 		ID:        id,
 		Attempts:  map[AttemptID]*Attempt{},
-		Delivery:  CommandDelivery{MustNotForget: map[AttemptID]bool{}, ForgetSentAt: map[AttemptID]time.Time{}},
+		Delivery:  CommandDelivery{DirectStarts: map[AttemptID]protocol.Term{}, ForgetSentAt: map[AttemptID]time.Time{}},
 		Suspicion: Suspicion{FailedJobs: map[protocol.JobID]bool{}},
 		IdleSince: now,
 		CreatedAt: now,
--- a/internal/coordination/commit/committer.go
+++ b/internal/coordination/commit/committer.go
@@ -66,8 +66,8 @@
 	// QuarantineJob freezes a job in its present state, because one of its records cannot be read.
 	QuarantineJob(id protocol.JobID, err error)
 	// TransactionCommitted is called when a committed transaction has been handled completely.
-	// latency is the time since it was first sent.
-	TransactionCommitted(latency time.Duration)
+	// revision is the store's revision after it, latency the time since it was first sent.
+	TransactionCommitted(revision protocol.Revision, latency time.Duration)
 	// TransactionConflicted is called when a transaction was refused.
 	TransactionConflicted()
 }
--- a/internal/coordination/commit/leader_test.go
+++ b/internal/coordination/commit/leader_test.go
@@ -248,7 +248,7 @@
 func (l *leader) QuarantineJob(id protocol.JobID, err error) { l.loader.Quarantine(id, err) }
 
 // TransactionCommitted implements commit.Outcomes.
-func (l *leader) TransactionCommitted(time.Duration) {}
+func (l *leader) TransactionCommitted(protocol.Revision, time.Duration) {}
 
 // TransactionConflicted implements commit.Outcomes.
 func (l *leader) TransactionConflicted() {}
--- a/internal/coordination/commit/outcome.go
+++ b/internal/coordination/commit/outcome.go
@@ -135,7 +135,7 @@
 		noteRecordsCommitted(job, write)
 		c.outcomes.JobCommitted(job, write.placed)
 	}
-	c.outcomes.TransactionCommitted(c.state.Now().Sub(tx.sentAt))
+	c.outcomes.TransactionCommitted(revision, c.state.Now().Sub(tx.sentAt))
 	c.Commit()
 }
 
--- a/internal/coordination/commit_outcomes.go
+++ b/internal/coordination/commit_outcomes.go
@@ -51,7 +51,8 @@
 func (co commitOutcomes) QuarantineJob(id protocol.JobID, err error) { co.l.loader.Quarantine(id, err) }
 
 // TransactionCommitted implements commit.Outcomes.
-func (co commitOutcomes) TransactionCommitted(latency time.Duration) {
+func (co commitOutcomes) TransactionCommitted(revision protocol.Revision, latency time.Duration) {
+	co.l.agents.Delivery.ObserveCommit(revision)
 	co.l.n.metrics.Commits++
 	co.l.n.metrics.CommitSeconds = append(co.l.n.metrics.CommitSeconds, latency.Seconds())
 	co.l.agents.Delivery.SendPending()
--- a/internal/coordination/reconcile/reconcile.go
+++ b/internal/coordination/reconcile/reconcile.go
@@ -57,12 +57,13 @@
 const contradicted = -2
 
 // Compare compares one agent's heartbeat with the records. The heartbeat must be newer than
-// the last one accepted from this agent. token is the current leader's fencing token.
+// the last one accepted from this agent. token is the current leader's term; its later fencing
+// tokens are above it.
 // The result is valid until the next call.
 func (rc *Reconciler) Compare(records Records, token protocol.Term, heartbeat *protocol.Heartbeat) []Difference {
 	rc.differences = rc.differences[:0]
 	rc.stored = records.Attempts(heartbeat.Machine, rc.stored[:0])
-	tokenCurrent := heartbeat.FencingToken == token
+	tokenCurrent := heartbeat.FencingToken >= token
 	namesReadable := rc.index(heartbeat)
 	rc.addOlderIncarnations(heartbeat, tokenCurrent)
 	for i := range heartbeat.Tasks {
--- a/internal/simulation/agent.go
+++ b/internal/simulation/agent.go
@@ -164,6 +164,8 @@
 	a.inFlight, a.changed, a.lastSent = true, false, w.Now
 	sent, incarnation := w.Now, a.incarnation
 	body := encode(a.heartbeat())
+	w.heartbeats++
+	w.largestHeartbeat = max(w.largestHeartbeat, len(body))
 	if w.recordHeartbeats {
 		w.recordedHeartbeats = append(w.recordedHeartbeats, body)
 	}
@@ -297,6 +299,7 @@
 			}
 		case protocol.CommandForget:
 			if task != nil && task.state == protocol.TaskExited {
+				a.w.longestExitedTime = max(a.w.longestExitedTime, a.w.Now.Sub(task.exitedAt))
 				a.w.Audit.forgot(task.instance())
 				delete(a.tasks, key)
 			}
@@ -337,7 +340,7 @@
 
 // refuse ends a task before it starts.
 func (a *agent) refuse(task *agentTask, cause protocol.Cause) {
-	task.state, task.cause = protocol.TaskExited, cause
+	task.state, task.cause, task.exitedAt = protocol.TaskExited, cause, a.w.Now
 	a.w.Audit.ended(task.instance(), cause, false)
 }
 
--- a/internal/simulation/command_copies.go
+++ b/internal/simulation/command_copies.go
@@ -23,7 +23,7 @@
 // deliverCommandCopy delivers a copy of a call to the agent. The response is discarded.
 func (w *World) deliverCommandCopy(call executedCall) {
 	if agent := w.agents[call.machine]; agent != nil {
-		w.log.Info("copy of a call arrives", "machine", call.machine, "commands", string(call.body))
+		w.log.Debug("copy of a call arrives", "machine", call.machine, "commands", string(call.body))
 		agent.serve("POST", protocol.PathCommands, call.body, func(int, []byte) {})
 	}
 }
--- a/internal/simulation/gang.go
+++ b/internal/simulation/gang.go
@@ -21,6 +21,7 @@
 	saved     bool
 	onMachine bool // the task has its image and has not exited
 	startedAt time.Time
+	exitedAt  time.Time
 	gang      *gang
 }
 
@@ -240,7 +241,7 @@
 	}
 	t.removeFromMachine()
 	t.agent.w.Audit.ended(t.instance(), cause, false)
-	t.state, t.cause, t.saved = protocol.TaskExited, cause, saved
+	t.state, t.cause, t.saved, t.exitedAt = protocol.TaskExited, cause, saved, t.agent.w.Now
 	t.agent.reportChange()
 	if j := t.agent.w.rules.jobs[t.job.ID]; cause == protocol.CauseDone && !t.job.Service() && j.onCompletion != nil && !slices.Contains(j.done, false) {
 		j.onCompletion()
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -106,6 +106,10 @@
 	steps              int // of all controllers
 	calls              int // to agents
 	maxConcurrentCalls int // most calls in flight at once at one controller
+	heartbeats         int // of all agents
+	largestHeartbeat   int // in bytes
+	// longestExitedTime is the longest time from an attempt's exit until its agent forgot it.
+	longestExitedTime time.Duration
 }
 
 // New returns a world of three controllers with the small shape.
