Logs and metrics show under which token commands are sent and why attempts are forgotten

Cause: the incident's records have no line that tells under which token, session and path a start or stop was sent, or when and why an attempt could be forgotten. What the agents carried out had to be compared with the code.

Change: one info line per message with commands names the path, the token, the token that the agent has shown, the incarnation and all attempts by command; another names the attempt for which an agent is shown a newer token. An agent that reports an attempt which it has forgotten is an error with the attempt, the machine and both tokens: the last 4,096 forgotten attempts are remembered.

The transport may import package agents for the type of these counters, as it does package reconcile for those of the recovery. No fingerprint changes.

--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -41,6 +41,7 @@
 		"internal/storage",
 		"internal/config",
 		"internal/coordination",
+		"internal/coordination/agents",
 		"internal/coordination/reconcile",
 		"internal/protocol",
 		"internal/tuning",
--- a/internal/coordination/agents/agents.go
+++ b/internal/coordination/agents/agents.go
@@ -46,6 +46,7 @@
 	Client      Client
 	Environment Environment
 	Log         *slog.Logger
+	Counters    *Counters
 	Term        protocol.Term // the leader's term, which is its first fencing token
 }
 
@@ -60,10 +61,10 @@
 // New returns the Manager of a controller that has just become leader.
 func New(d Dependencies) *Manager {
 	calls := &Calls{Limiter: NewLimiter(d.State.Config.Cluster.Process), state: d.State, client: d.Client}
-	delivery := &Delivery{state: d.State, lifecycle: d.Lifecycle, recovery: d.Recovery, calls: calls, env: d.Environment, log: d.Log, term: d.Term, newest: d.Term}
+	delivery := &Delivery{state: d.State, lifecycle: d.Lifecycle, recovery: d.Recovery, calls: calls, env: d.Environment, log: d.Log, counters: d.Counters, term: d.Term, newest: d.Term}
 	heartbeats := &Heartbeats{
 		state: d.State, lifecycle: d.Lifecycle, recovery: d.Recovery, fleet: d.Fleet, delivery: delivery, env: d.Environment, log: d.Log, term: d.Term,
-		stored: storedRecords{state: d.State, env: d.Environment},
+		stored: storedRecords{state: d.State, env: d.Environment}, forgotten: newForgottenAttempts(), counters: d.Counters,
 	}
 	delivery.heartbeats = heartbeats
 	liveness := &Liveness{
--- a/internal/coordination/agents/agents_test.go
+++ b/internal/coordination/agents/agents_test.go
@@ -29,6 +29,7 @@
 	calls     []testCall
 	logged    map[string]bool
 	deleted   map[protocol.MachineID]bool
+	counters  agents.Counters
 }
 
 // testCall is a call to an agent that is in flight.
@@ -44,7 +45,7 @@
 	l.lifecycle = lifecycle.New(state, recovery, l, log)
 	l.scheduler = scheduler.New(state, l, log)
 	l.Manager = agents.New(agents.Dependencies{State: state, Lifecycle: l.lifecycle, Recovery: recovery, Scheduler: l.scheduler,
-		Fleet: l, Client: l, Environment: l, Log: log, Term: testTerm})
+		Fleet: l, Client: l, Environment: l, Log: log, Counters: &l.counters, Term: testTerm})
 	return l
 }
 
--- a/internal/coordination/agents/commands.go
+++ b/internal/coordination/agents/commands.go
@@ -36,6 +36,7 @@
 	for _, command := range commands {
 		d.recovery.CommandSent(command.Kind)
 	}
+	d.recordCommands(machine, commands, via)
 	return commands
 }
 
@@ -135,16 +136,13 @@
 // not repeated at once, because the agent may not have reported its effect yet, unless the task
 // is to start again on the same machine.
 func (d *Delivery) forgetIsDue(machine *cluster.Machine, exited protocol.TaskStatus) bool {
-	id := exitedID(exited)
+	id, now := exitedID(exited), d.state.Now()
+	due := now.Sub(machine.Delivery.ForgetSentAt[id]) >= tuning.CommandResendDelay
 	for other := range machine.Attempts {
-		if other.Job == id.Job && other.Index == id.Index {
-			return true
-		}
+		due = due || other.Job == id.Job && other.Index == id.Index
 	}
-	now := d.state.Now()
-	if now.Sub(machine.Delivery.ForgetSentAt[id]) < tuning.CommandResendDelay {
-		return false
+	if due {
+		machine.Delivery.ForgetSentAt[id] = now
 	}
-	machine.Delivery.ForgetSentAt[id] = now
-	return true
+	return due
 }
--- a/internal/coordination/agents/delivery.go
+++ b/internal/coordination/agents/delivery.go
@@ -34,6 +34,7 @@
 	heartbeats *Heartbeats
 	env        DeliveryEnvironment
 	log        *slog.Logger
+	counters   *Counters
 	term       protocol.Term
 	newest     protocol.Term      // newest token that this leader may show to agents
 	pending    []*cluster.Machine // machines with commands that should not wait for a heartbeat
@@ -107,6 +108,7 @@
 		}
 		d.heartbeats.ObserveCallResult(machine, result)
 		if result.Outcome == Refused {
+			d.counters.RefusedCalls++
 			machine.Delivery.CallNotBefore = d.state.Now().Add(tuning.CommandResendDelay)
 			d.Enqueue(machine)
 		}
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -66,6 +66,8 @@
 	term       protocol.Term
 	stored     storedRecords
 	reconciler reconcile.Reconciler
+	forgotten  forgottenAttempts
+	counters   *Counters
 }
 
 // source tells how an agent's state arrived.
--- a/internal/coordination/agents/reconciliation.go
+++ b/internal/coordination/agents/reconciliation.go
@@ -1,7 +1,6 @@
 package agents
 
 import (
-	"maps"
 	"time"
 
 	"github.com/gappond/gappond/internal/config"
@@ -73,6 +72,9 @@
 	for _, d := range differences {
 		h.recovery.Observe(d)
 		key := cluster.AttemptID{Job: d.ID.Job, Index: d.ID.Index, Number: d.ID.Attempt}
+		if d.EntryIndex >= 0 && machine.Attempts[key] == nil {
+			h.checkForgotten(machine, key)
+		}
 		if d.EntryIndex >= 0 && d.Class != reconcile.Unreadable && heartbeat.Tasks[d.EntryIndex].State == protocol.TaskExited {
 			machine.Agent.Exited = append(machine.Agent.Exited, heartbeat.Tasks[d.EntryIndex])
 		}
@@ -97,10 +99,35 @@
 			h.recordEnd(machine, key, &heartbeat.Tasks[d.EntryIndex])
 		}
 	}
-	maps.DeleteFunc(machine.Delivery.ForgetSentAt, func(key cluster.AttemptID, _ time.Time) bool { return !machine.ShowsExited(key) })
+	h.noteForgotten(machine)
 	h.deleteIfUnreadable(machine, hasUnnamedEntry, absenceUnproven)
 }
 
+// noteForgotten remembers the attempts that the agent was told to forget and no longer shows.
+func (h *Heartbeats) noteForgotten(machine *cluster.Machine) {
+	for key := range machine.Delivery.ForgetSentAt {
+		if !machine.ShowsExited(key) {
+			delete(machine.Delivery.ForgetSentAt, key)
+			h.forgotten.add(machine, key)
+		}
+	}
+}
+
+// checkForgotten logs an attempt that the agent reports although it has forgotten it: a late start
+// has reached it.
+func (h *Heartbeats) checkForgotten(machine *cluster.Machine, key cluster.AttemptID) {
+	if _, awaited := machine.Delivery.ForgetSentAt[key]; awaited {
+		return
+	}
+	shown, forgotten := h.forgotten.take(machine, key)
+	if !forgotten {
+		return
+	}
+	h.counters.ForgottenReported++
+	h.log.Error("agent holds an attempt that it was told to forget", "job", key.Job, "task", key.Index, "attempt", key.Number,
+		"machine", machine.ID, "token", machine.Agent.Token, "shown", shown, "incarnation", machine.Agent.Incarnation)
+}
+
 // recordState stores the state of an attempt that an agent reports.
 func (h *Heartbeats) recordState(attempt *cluster.Attempt, state protocol.TaskState) {
 	if state == "" {
--- a/internal/coordination/agents/tokens.go
+++ b/internal/coordination/agents/tokens.go
@@ -38,6 +38,9 @@
 		sent, direct := machine.Delivery.DirectStarts[exitedID(exited)]
 		if direct && sent >= current {
 			machine.Delivery.Token = d.newest
+			d.counters.NewerTokens++
+			d.log.Info("newer token shown", "machine", machine.ID, "token", d.newest, "previous", current,
+				"job", exitedID(exited).Job, "task", exitedID(exited).Index, "attempt", exited.Attempt, "exited", len(machine.Agent.Exited))
 			return
 		}
 	}
--- a/internal/coordination/agents/tokens_test.go
+++ b/internal/coordination/agents/tokens_test.go
@@ -24,11 +24,12 @@
 	return job
 }
 
-// endCall ends the call in flight. The agent's state after it shows the given token and tasks.
-func (l *testLeader) endCall(outcome agents.CallOutcome, token protocol.Term, tasks ...protocol.TaskStatus) {
+// endCall ends the call in flight. The agent's state after it shows the leader's term and the given
+// tasks.
+func (l *testLeader) endCall(outcome agents.CallOutcome, tasks ...protocol.TaskStatus) {
 	call := l.calls[0]
 	l.calls = nil
-	call.done(agents.CallResult{Outcome: outcome, Heartbeat: heartbeat(call.machine, token, tasks...)})
+	call.done(agents.CallResult{Outcome: outcome, Heartbeat: heartbeat(call.machine, testTerm, tasks...)})
 }
 
 // stoppedTask returns the status of a job's first attempt after it was stopped.
@@ -64,7 +65,7 @@
 			machine := l.machine("i-1", "a")
 			job := l.startDirectly(t, machine)
 			if c.outcome == agents.Executed {
-				l.endCall(c.outcome, testTerm, protocol.TaskStatus{Task: protocol.TaskName(job.ID, 0), Attempt: 1, State: protocol.TaskRunning})
+				l.endCall(c.outcome, protocol.TaskStatus{Task: protocol.TaskName(job.ID, 0), Attempt: 1, State: protocol.TaskRunning})
 			} else {
 				l.failCalls()
 			}
@@ -102,7 +103,7 @@
 	job := l.startDirectly(t, machine)
 	l.Delivery.ObserveCommit(protocol.Revision(testTerm + 5))
 	l.expectResponse(t, heartbeat(machine, testTerm, stoppedTask(job)), testTerm, "")
-	l.endCall(agents.Executed, testTerm, stoppedTask(job))
+	l.endCall(agents.Executed, stoppedTask(job))
 	l.expectResponse(t, heartbeat(machine, testTerm, stoppedTask(job)), testTerm+5, "")
 }
 
@@ -112,7 +113,7 @@
 	l := newTestLeader()
 	machine := l.machine("i-1", "a")
 	l.startDirectly(t, machine)
-	l.endCall(agents.Refused, testTerm)
+	l.endCall(agents.Refused)
 	l.state.Advance(tuning.DirectStartSettleTime)
 	l.expectResponse(t, heartbeat(machine, testTerm), testTerm, "start ")
 	if machine.Agent.IneffectiveResponses != 0 || machine.Agent.FailedProbes != 0 || !l.state.Schedulable(machine) {
@@ -126,7 +127,7 @@
 	l := newTestLeader()
 	machine := l.machine("i-1", "a")
 	done := l.startDirectly(t, machine)
-	l.endCall(agents.Executed, testTerm, stoppedTask(done))
+	l.endCall(agents.Executed, stoppedTask(done))
 	unanswered := l.startDirectly(t, machine)
 	l.failCalls()
 	l.Delivery.ObserveCommit(protocol.Revision(testTerm + 5))
@@ -139,13 +140,38 @@
 	}
 }
 
+// TestForgottenAttemptThatReturnsIsCounted: an agent that reports an attempt which it has forgotten
+// has executed a late start. It is told to stop the attempt.
+func TestForgottenAttemptThatReturnsIsCounted(t *testing.T) {
+	l := newTestLeader()
+	machine := l.machine("i-1", "a")
+	job := l.startDirectly(t, machine)
+	l.endCall(agents.Executed, stoppedTask(job))
+	l.Delivery.ObserveCommit(protocol.Revision(testTerm + 5))
+	l.expectResponse(t, heartbeat(machine, testTerm, stoppedTask(job)), testTerm+5, "")
+	l.expectResponse(t, heartbeat(machine, testTerm+5, stoppedTask(job)), testTerm+5, "reap ")
+	l.expectResponse(t, heartbeat(machine, testTerm+5, stoppedTask(job)), testTerm+5, "") // not executed yet
+	l.expectResponse(t, heartbeat(machine, testTerm+5), testTerm+5, "")
+	if l.counters.ForgottenReported != 0 {
+		t.Fatalf("%d attempts counted before one returned", l.counters.ForgottenReported)
+	}
+	running := stoppedTask(job)
+	running.State, running.Cause = protocol.TaskRunning, ""
+	for range 2 {
+		l.Heartbeats.Accept(heartbeat(machine, testTerm+5, running))
+	}
+	if l.counters.ForgottenReported != 1 || !machine.Attempts[cluster.AttemptID{Job: job.ID, Number: 1}].Stopping {
+		t.Errorf("%d attempts counted, want one, which is stopped", l.counters.ForgottenReported)
+	}
+}
+
 // TestOnlyUnknownTokensAreHigher: a heartbeat with a token that this leader has sent to the agent,
 // or a copy of one from a deleted machine, does not show that another controller leads.
 func TestOnlyUnknownTokensAreHigher(t *testing.T) {
 	l := newTestLeader()
 	machine := l.machine("i-1", "a")
 	job := l.startDirectly(t, machine)
-	l.endCall(agents.Executed, testTerm, stoppedTask(job))
+	l.endCall(agents.Executed, stoppedTask(job))
 	l.Delivery.ObserveCommit(protocol.Revision(testTerm + 5))
 	l.expectResponse(t, heartbeat(machine, testTerm, stoppedTask(job)), testTerm+5, "")
 	other := l.machine("i-2", "a")
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -53,7 +53,7 @@
 	l.autoscaler = autoscaler.New(l.cluster, l.scheduler, cloudClient{l}, autoscalerEnvironment{shared}, n.log)
 	l.agents = agents.New(agents.Dependencies{
 		State: l.cluster, Lifecycle: l.lifecycle, Recovery: l.recovery, Scheduler: l.scheduler, Fleet: l.autoscaler,
-		Client: agentClient{l}, Environment: agentsEnvironment{shared}, Log: n.log, Term: term,
+		Client: agentClient{l}, Environment: agentsEnvironment{shared}, Log: n.log, Counters: &n.metrics.Agents, Term: term,
 	})
 	l.committer = commit.New(commit.Dependencies{
 		State: l.cluster, Store: store, Limits: n.storeLimits, Environment: commitEnvironment{shared},
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gappond/gappond/internal/coordination/agents"
 	"github.com/gappond/gappond/internal/coordination/reconcile"
 	"github.com/gappond/gappond/internal/protocol"
 )
@@ -15,6 +16,7 @@
 	CommitSeconds, StartWaitSeconds                                      []float64 // observations since the last TakeMetrics
 	Now                                                                  time.Time
 	Recovery                                                             reconcile.Summary // of this leader's failover
+	Agents                                                               agents.Counters
 }
 
 // TakeMetrics returns the metrics and clears the observations.
--- a/internal/simulation/fault_kinds_test.go
+++ b/internal/simulation/fault_kinds_test.go
@@ -165,8 +165,8 @@
 	w.delayCommandCopies(0.5, 2*d.duration)
 }}
 
-// injectFault injects one fault of a random kind and returns a description of it.
-func (w *World) injectFault() string { return w.injectFaultOf(faultKinds) }
+// injectFault injects one fault of a random kind.
+func (w *World) injectFault() { w.injectFaultOf(faultKinds) }
 
 // injectFaultOf injects one fault, of a random one of the given kinds, and returns a description of
 // it.
--- a/internal/tuning/agents.go
+++ b/internal/tuning/agents.go
@@ -154,6 +154,10 @@
 	MaxRememberedLogKeys = 20_000
 )
 
+// MaxRememberedForgets is the number of forgotten attempts that are remembered to detect agents that
+// report them again: a few leases' worth at production size, in under a megabyte.
+const MaxRememberedForgets = 4096
+
 // MaxCommandsPerResponse bounds the commands in one response. At 100 bytes each they fit into a
 // message of 64 KiB.
 const MaxCommandsPerResponse = 400
