A machine whose agent lost its state within its incarnation is deleted

A machine that is back under its name, with an agent in its first incarnation that has seen no token, executes every late copy of the session. Its heartbeats are refused as older ones until its lease has ended, so nobody sees what runs there, and the lease may end later than the leader presumes.

Cause: stale knowledge. The leader compares incarnation and sequence, and takes a lower sequence for a late copy, also in the response to a call of its own, which cannot be one.

Change: the response to a call that is older than what was known when the call was made, or a newer heartbeat of the same incarnation with a lower token than the agent has shown, proves that the agent began again. It is logged as an error and the machine is deleted, which proves all that runs there gone.

Why it works: an agent numbers all its messages, and never goes back to a lower token. A copy of an old heartbeat has a lower sequence and is no response to a call.

In the time until then a copy can still start a task there: an agent without session and token accepts it, and the protocol describes no machine that returns under its name.

--- a/internal/coordination/agents/calls.go
+++ b/internal/coordination/agents/calls.go
@@ -39,6 +39,9 @@
 	// read. One of the two is set if the call was executed or refused, neither otherwise.
 	Heartbeat  *protocol.Heartbeat
 	ParseError error
+	// StateLost: Heartbeat is older than one that had arrived before the call was made. The agent has
+	// begun again, because each of its messages is newer than those before.
+	StateLost bool
 }
 
 // Calls makes the calls to agents and counts them. Callers first check MaySendCommands or
@@ -81,21 +84,24 @@
 
 // SendCommands sends commands to an agent. The call counts as in flight until done is called.
 func (c *Calls) SendCommands(machine *cluster.Machine, commands protocol.CommandBatch, done func(CallResult)) {
-	c.client.SendCommands(machine, commands, c.begin(done))
+	c.client.SendCommands(machine, commands, c.begin(machine, done))
 }
 
 // RequestHeartbeat asks an agent for a current heartbeat. The call counts as in flight until
 // done is called.
 func (c *Calls) RequestHeartbeat(machine *cluster.Machine, done func(CallResult)) {
-	c.client.RequestHeartbeat(machine, c.begin(done))
+	c.client.RequestHeartbeat(machine, c.begin(machine, done))
 }
 
-// begin counts a call against the limits. It returns a callback that ends the call and calls done.
-func (c *Calls) begin(done func(CallResult)) func(CallResult) {
+// begin counts a call to a machine's agent against the limits. It returns a callback that ends the
+// call and calls done.
+func (c *Calls) begin(machine *cluster.Machine, done func(CallResult)) func(CallResult) {
 	c.Limiter.AllowN(c.state.Now(), 1)
 	c.InFlight++
+	incarnation, sequence := machine.Agent.Incarnation, machine.Agent.Sequence
 	return func(result CallResult) {
 		c.InFlight--
+		result.StateLost = result.Heartbeat != nil && !result.Heartbeat.NewerThan(incarnation, sequence)
 		done(result)
 	}
 }
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -108,6 +108,10 @@
 		h.log.Error("response to a call is not the agent's heartbeat", "machine", machine.ID, "error", result.ParseError)
 		return
 	}
+	if result.StateLost {
+		h.replaceMachine(machine, result.Heartbeat)
+		return
+	}
 	if !h.RefuseHigherToken(result.Heartbeat) {
 		h.process(result.Heartbeat, fromCall)
 	}
@@ -123,6 +127,10 @@
 	if !heartbeat.NewerThan(machine.Agent.Incarnation, machine.Agent.Sequence) {
 		return nil
 	}
+	if heartbeat.Incarnation == machine.Agent.Incarnation && heartbeat.FencingToken < machine.Agent.Token {
+		h.replaceMachine(machine, heartbeat) // an agent never goes back to a lower token
+		return nil
+	}
 	h.stored.startOutcomesKnown = from == fromHeartbeat
 	differences := h.reconciler.Compare(&h.stored, h.term, heartbeat)
 	h.observeIncarnation(machine, heartbeat)
@@ -141,6 +149,18 @@
 	return machine
 }
 
+// replaceMachine requests the deletion of a machine whose agent has lost its state and begun again in
+// the same incarnation. It executes late commands that it would have refused before, and only the
+// deletion proves what it runs gone.
+func (h *Heartbeats) replaceMachine(machine *cluster.Machine, heartbeat *protocol.Heartbeat) {
+	if machine.Deleting || h.fleet.Deleted(machine.ID) {
+		return
+	}
+	h.log.Error("agent has lost its state", "machine", machine.ID, "incarnation", heartbeat.Incarnation, "sequence", heartbeat.Sequence,
+		"token", heartbeat.FencingToken, "known_sequence", machine.Agent.Sequence, "shown", machine.Agent.Token, "tasks", len(heartbeat.Tasks))
+	h.fleet.DeleteMachine(machine, "its agent has lost its state")
+}
+
 // observePreemptionNotice has a spot machine drained that the cloud is about to preempt. If a newer
 // heartbeat shows no notice any more, the drain has lost its reason, and ends like any other.
 func (h *Heartbeats) observePreemptionNotice(machine *cluster.Machine, heartbeat *protocol.Heartbeat) {
