The command to forget an attempt carries the newer token itself

Cause: a heartbeat more than needed. The attempt was forgotten only after the agent's heartbeat had shown the newer token. But an agent accepts the token of a message before it executes the commands in it, so the response that carries the newer token may carry the command to forget as well: once the agent has executed it, it refuses every copy of the start.

Change: an attempt may be forgotten in a message whose token is above that of each of its direct starts. The invariant is simpler, and is checked where the command is built.

--- a/internal/coordination/agents/commands.go
+++ b/internal/coordination/agents/commands.go
@@ -118,11 +118,12 @@
 	return protocol.Command{Kind: protocol.CommandStart, Task: protocol.TaskName(attempt.Job.ID, attempt.Key.Index), Attempt: attempt.Key.Number}
 }
 
-// isForgettable reports whether an agent may forget an exited attempt: its result is stored,
-// and the agent refuses every direct start of it that may still arrive.
+// isForgettable reports whether an agent may forget an exited attempt: its result is stored, and an
+// agent that has executed the command refuses every direct start of it that may still arrive.
 func (d *Delivery) isForgettable(machine *cluster.Machine, exited protocol.TaskStatus) bool {
 	id := exitedID(exited)
-	if _, mayArrive := machine.Delivery.DirectStarts[id]; mayArrive || machine.Attempts[id] != nil || d.env.Unreadable(id.Job) {
+	sent, direct := machine.Delivery.DirectStarts[id]
+	if direct && sent >= d.tokenFor(machine) || machine.Attempts[id] != nil || d.env.Unreadable(id.Job) {
 		return false
 	}
 	job := d.state.Jobs[id.Job]
--- a/internal/coordination/agents/delivery.go
+++ b/internal/coordination/agents/delivery.go
@@ -24,8 +24,8 @@
 // Delivery sends commands to agents: in the responses to heartbeats, and in direct calls if
 // they should not wait for a heartbeat. A direct start, or a copy of it, may arrive at any later
 // time, but does nothing where the agent holds the attempt. So the attempt is pinned: to end one
-// whose start got no response, the agent is told to start it and to stop it, and it is told to
-// forget an attempt only when it has shown a newer fencing token than that of the start.
+// whose start got no response, the agent is told to start it and to stop it, and a command to
+// forget an attempt is sent under a newer fencing token than its start.
 type Delivery struct {
 	state      *cluster.State
 	lifecycle  *lifecycle.Manager
--- a/internal/coordination/agents/tokens.go
+++ b/internal/coordination/agents/tokens.go
@@ -26,8 +26,8 @@
 	return d.term
 }
 
-// raiseToken shows the agent a newer fencing token, in the response to its heartbeat, if it holds an
-// exited attempt that it may forget only then. Other agents keep theirs, because a newer token makes
+// raiseToken has the response to an agent's heartbeat carry a newer fencing token if the agent holds an
+// exited attempt that it may be told to forget only under one. Other agents keep theirs, because a newer token makes
 // an agent send an early heartbeat. A call in flight would be refused under the newer token.
 func (d *Delivery) raiseToken(machine *cluster.Machine) {
 	current := d.tokenFor(machine)
--- a/internal/coordination/cluster/agent.go
+++ b/internal/coordination/cluster/agent.go
@@ -41,7 +41,7 @@
 	CallNotBefore time.Time     // earliest time of the next call
 	Token         protocol.Term // fencing token of the messages to the agent if it is above the leader's term
 	// DirectStarts holds, by attempt, the fencing token of its newest direct start, as long as the
-	// agent would execute that command or a copy of it. The agent must then not forget the attempt.
+	// agent has shown no higher one and so may execute that command or a copy of it.
 	DirectStarts map[AttemptID]protocol.Term
 	// ForgetSentAt is the time at which the agent was last told to forget an attempt that it
 	// still reports.
