--- a/internal/coordination/agents/delivery.go
+++ b/internal/coordination/agents/delivery.go
@@ -92,27 +92,28 @@
 	starts := d.noteStartsInFlight(machine, commands)
 	machine.Delivery.InFlight = true
 	batch := protocol.CommandBatch{FencingToken: d.tokenFor(machine), Incarnation: machine.Agent.Incarnation, Commands: commands}
-	d.calls.SendCommands(machine, batch, func(result CallResult) {
-		machine.Delivery.InFlight = false
-		answered := result.Outcome == Executed || result.Outcome == Refused
+	d.calls.SendCommands(machine, batch, func(result CallResult) { d.endCall(machine, starts, result) })
+}
+
+// endCall handles the end of a call that contained the starts of these attempts.
+func (d *Delivery) endCall(machine *cluster.Machine, starts []*cluster.Attempt, result CallResult) {
+	machine.Delivery.InFlight = false
+	if result.Outcome != Executed && result.Outcome != Refused {
 		for _, attempt := range starts {
-			if answered {
-				attempt.EndDirectStart()
-				continue
-			}
 			attempt.MarkDirectStartUnanswered()
 		}
-		if !answered {
-			d.retryUnanswered(machine)
-			return
-		}
-		d.heartbeats.ObserveCallResult(machine, result)
-		if result.Outcome == Refused {
-			d.counters.RefusedCalls++
-			machine.Delivery.CallNotBefore = d.state.Now().Add(tuning.CommandResendDelay)
-			d.Enqueue(machine)
-		}
-	})
+		d.retryUnanswered(machine)
+		return
+	}
+	for _, attempt := range starts {
+		attempt.EndDirectStart()
+	}
+	d.heartbeats.ObserveCallResult(machine, result)
+	if result.Outcome == Refused {
+		d.counters.RefusedCalls++
+		machine.Delivery.CallNotBefore = d.state.Now().Add(tuning.CommandResendDelay)
+		d.Enqueue(machine)
+	}
 }
 
 // noteStartsInFlight marks the starts among the commands of a call as in flight and returns
--- a/internal/simulation/builders_test.go
+++ b/internal/simulation/builders_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -25,6 +26,18 @@
 	return nil
 }
 
+// seedCount returns how many seeds a test with random runs does: SIMULATION_DAYS if that is set, and
+// fewer with -short.
+func seedCount(usual, short int) int {
+	if testing.Short() {
+		return short
+	}
+	if n, err := strconv.Atoi(os.Getenv("SIMULATION_DAYS")); err == nil {
+		return n
+	}
+	return usual
+}
+
 // startWorld creates a deployment and runs it for a while, so that a leader is elected and the
 // machines have sent heartbeats.
 func startWorld(seed uint64, shape Shape, settle time.Duration) *World {
--- a/internal/simulation/command_copies_test.go
+++ b/internal/simulation/command_copies_test.go
@@ -3,9 +3,7 @@
 import (
 	"fmt"
 	"maps"
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
@@ -125,18 +123,11 @@
 // of few machines.
 func TestRulesHoldDespiteLateCommandCopies(t *testing.T) {
 	t.Parallel()
-	seeds := 24
-	if n, err := strconv.Atoi(os.Getenv("SIMULATION_DAYS")); err == nil {
-		seeds = n
-	}
-	if testing.Short() {
-		seeds = 6
-	}
 	kinds := slices.Clone(faultKinds)
 	for range 4 { // in most runs, copies are among the first faults
 		kinds = append(kinds, commandCopiesKind)
 	}
-	for seed := range seeds {
+	for seed := range seedCount(24, 6) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			shape := []Shape{SmallShape(), tinyCPUShape(), smallDeployment(uint64(seed))}[seed%3]
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
@@ -54,14 +52,7 @@
 // the leader through the other controllers.
 func TestRulesHold(t *testing.T) {
 	t.Parallel()
-	seeds := 24
-	if n, err := strconv.Atoi(os.Getenv("SIMULATION_DAYS")); err == nil {
-		seeds = n
-	}
-	if testing.Short() {
-		seeds = 6
-	}
-	for seed := range seeds {
+	for seed := range seedCount(24, 6) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			shape := SmallShape()
--- a/internal/simulation/small_deployments_test.go
+++ b/internal/simulation/small_deployments_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
 
 	"github.com/gappond/gappond/internal/protocol"
@@ -29,14 +27,7 @@
 // that no job waits for long while there is free capacity for it.
 func TestRulesHoldInSmallDeployments(t *testing.T) {
 	t.Parallel()
-	seeds := 60
-	if n, err := strconv.Atoi(os.Getenv("SIMULATION_DAYS")); err == nil {
-		seeds = n
-	}
-	if testing.Short() {
-		seeds = 12
-	}
-	for seed := range seeds {
+	for seed := range seedCount(60, 12) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			checkRandomRun(t, uint64(40_000+seed), smallDeployment(uint64(seed)), faultKinds)
