--- a/internal/coordination/agents/tokens.go
+++ b/internal/coordination/agents/tokens.go
@@ -26,23 +26,25 @@
 	return d.term
 }
 
-// raiseToken has the response to an agent's heartbeat carry a newer fencing token if the agent holds an
-// exited attempt that it may be told to forget only under one. Other agents keep theirs, because a newer token makes
-// an agent send an early heartbeat. A call in flight would be refused under the newer token.
+// raiseToken has the response to an agent's heartbeat carry a newer fencing token if the agent holds
+// an exited attempt that it may be told to forget only under one. Other agents keep theirs, because a
+// newer token makes an agent send an early heartbeat. While a call is in flight the token stays,
+// because the agent would refuse the call.
 func (d *Delivery) raiseToken(machine *cluster.Machine) {
 	current := d.tokenFor(machine)
 	if d.newest <= current || machine.Delivery.InFlight || !machine.Agent.TokenConfirmed {
 		return
 	}
 	for _, exited := range machine.Agent.Exited {
-		sent, direct := machine.Delivery.DirectStarts[exitedID(exited)]
-		if direct && sent >= current {
-			machine.Delivery.Token = d.newest
-			d.counters.NewerTokens++
-			d.log.Info("newer token shown", "machine", machine.ID, "token", d.newest, "previous", current,
-				"job", exitedID(exited).Job, "task", exitedID(exited).Index, "attempt", exited.Attempt, "exited", len(machine.Agent.Exited))
-			return
+		id := exitedID(exited)
+		if sent, direct := machine.Delivery.DirectStarts[id]; !direct || sent < current {
+			continue
 		}
+		machine.Delivery.Token = d.newest
+		d.counters.NewerTokens++
+		d.log.Info("newer token shown", "machine", machine.ID, "token", d.newest, "previous", current,
+			"job", id.Job, "task", id.Index, "attempt", id.Number, "exited", len(machine.Agent.Exited))
+		return
 	}
 }
 
--- a/internal/coordination/cluster/agent.go
+++ b/internal/coordination/cluster/agent.go
@@ -13,7 +13,7 @@
 	Incarnation    protocol.Incarnation // newest known incarnation
 	Sequence       protocol.Sequence    // newest known sequence number within the incarnation
 	Heard          bool                 // this leader has received a heartbeat of the agent
-	Token          protocol.Term        // highest fencing token that the agent has shown in its newest heartbeat
+	Token          protocol.Term        // fencing token in the agent's newest heartbeat: the highest that it has seen
 	TokenConfirmed bool                 // it is this leader's term or a newer token of this leader
 	HigherToken    protocol.Term        // a token above this leader's term that the agent has reported
 	LastHeartbeat  time.Time            // arrival of the newest heartbeat, alone or in the response to a call
