--- a/review/tools-2/chaos.go
+++ b/review/tools-2/chaos.go
@@ -15,6 +15,19 @@
 	d.teams = []team{{name: "editorial-desk", gpus: 8, gpusMax: 16}, {name: "lexicon-team", gpus: 4, gpusMax: 12}, {name: "delivery-ops"}}
 	d.build.StartupS = 8
 	d.capacity = map[string]int{"accra-east": 5, "kumasi-central": 5}
+	if cores, err := strconv.ParseFloat(os.Getenv("CORES"), 64); err == nil {
+		d.cores = cores // with a small share, most workers are served through other controllers
+	}
+	if os.Getenv("ZONES") == "3" {
+		d.zones = []string{"santander-norte", "torrelavega-sur", "oviedo-oeste"}
+		d.reportS, d.leaseS, d.cancelS, d.gangWaitS, d.gangPeerS = 5, 31, 51, 50, 8
+		d.stateRPS, d.stateWriteRPS, d.txnOps, d.cloudRPS, d.listLagS = 250, 30, 24, 8, 5
+		d.build.Yards = d.zones
+		d.capacity, d.machines = map[string]int{}, map[string]int{}
+		for _, z := range d.zones {
+			d.capacity[z], d.machines[z] = 3, 2
+		}
+	}
 	w := newWorld(d, root, record)
 	secs, _ := strconv.Atoi(os.Getenv("SECS"))
 	if secs == 0 {
@@ -34,7 +47,7 @@
 			case 1:
 				s.Scatter = true
 			case 2:
-				s.Yard = &d.zones[rnd(2)]
+				s.Yard = &d.zones[rnd(len(d.zones))]
 			}
 			if rnd(2) == 0 {
 				s.Snapshot, s.Flush = 5, 2
--- a/review/tools-2/restored.go
+++ b/review/tools-2/restored.go
@@ -4,7 +4,10 @@
 	"time"
 )
 
-func init() { cases["restored"] = restored }
+func init() {
+	cases["restored"] = func(root, record string, trouble bool) int { return restored(root, record, trouble, false) }
+	cases["kept"] = func(root, record string, trouble bool) int { return restored(root, record, trouble, true) }
+}
 
 // backup is the content of the state service at one time.
 type backup struct {
@@ -34,8 +37,9 @@
 }
 
 // restored: all controllers lose power together while the workers go on, and the stored state that
-// they find is some seconds old.
-func restored(root, record string, trouble bool) int {
+// they find is some seconds old. If onlyKills is set, no machine has free capacity, and what counts is
+// that no task is killed that its job needs and that runs nowhere else.
+func restored(root, record string, trouble, onlyKills bool) int {
 	d := kente()
 	d.bootMin, d.bootMax = 0.6, 0.7
 	d.reportS = 5
@@ -89,7 +93,18 @@
 		w.store.restore(old)
 	}
 	w.mu.Lock()
-	for i := range first.spec.Pieces { // the first job's run time is over
+	if onlyKills {
+		w.onHalt = func(t *task) {
+			if t.on && !t.job.askedCancel && !t.job.done[t.index] && w.placed[t.piece] == t {
+				w.violated("keep_valid_work", "%s@%d is told to stop on %s, where it has run for %.0f s; its job needs it, and it runs nowhere else",
+					t.piece, t.try, t.m.id, time.Since(t.startedAt).Seconds())
+			}
+		}
+	}
+	for i := range first.spec.Pieces {
+		if onlyKills {
+			break
+		} // the first job's run time is over
 		if t := w.placed[pieceName(first.spec.UID, i)]; t != nil {
 			first.done[i] = true
 			t.exit("done", false)
--- a/review/tools-2/worker.go
+++ b/review/tools-2/worker.go
@@ -432,6 +432,9 @@
 	if t.phase == "exited" || t.phase == "saving" && leeway > 0 {
 		return
 	}
+	if t.w.onHalt != nil {
+		t.w.onHalt(t)
+	}
 	s := &t.job.spec
 	if t.phase == "running" && s.Snapshot > 0 && leeway >= s.Flush {
 		t.phase = "saving"
--- a/review/tools-2/world.go
+++ b/review/tools-2/world.go
@@ -125,6 +125,7 @@
 	cancelCheck sync.WaitGroup
 	crashes     int // controllers that ended by themselves
 	closing     bool
+	onHalt      func(*task) // called before a halt is executed
 	rng         *rand.Rand
 }
 
