--- a/review/tools-2/chaos.go
+++ b/review/tools-2/chaos.go
@@ -28,7 +28,31 @@
 			d.capacity[z], d.machines[z] = 3, 2
 		}
 	}
+	old := os.Getenv("OLD_ROOT") // a checkout of the version in production, built
+	if old != "" {
+		d.nextValueKB, d.nextTxnOps = 2, 4
+	}
 	w := newWorld(d, root, record)
+	w.copies = os.Getenv("COPIES") != ""
+	if old != "" {
+		for _, n := range w.nodes {
+			n.program = []string{old, "target/gappond", "serve", "--config"}
+		}
+		go func() {
+			for _, i := range w.rng.Perm(3) {
+				time.Sleep(15 * time.Second)
+				w.nodes[i].program = nil
+				w.nodes[i].restart(time.Second)
+			}
+			time.Sleep(15 * time.Second)
+			w.store.mu.Lock()
+			w.store.valueKB, w.store.txnOps = d.nextValueKB, d.nextTxnOps
+			w.store.mu.Unlock()
+			w.mu.Lock()
+			w.note("FAULT the limits of the state service are lowered")
+			w.mu.Unlock()
+		}()
+	}
 	secs, _ := strconv.Atoi(os.Getenv("SECS"))
 	if secs == 0 {
 		secs = 120
@@ -57,6 +81,11 @@
 				if s.Scatter && s.Pieces > 1 {
 					s.OneZone = false
 				}
+			} else if x == 3 && old != "" {
+				s.Pieces, s.CPUs, s.GPUs, s.MemoryGB = 60+rnd(80), 0.5, 0, 2
+				if rnd(3) == 0 {
+					s.Shape, s.Scatter, s.Pieces = "gang", false, 12+rnd(16)
+				}
 			} else if x == 2 {
 				s.Shape, s.CPUs, s.GPUs, s.ExpectS = "standing", 1, 0, 0
 			}
--- a/review/tools-2/worker.go
+++ b/review/tools-2/worker.go
@@ -236,10 +236,35 @@
 		out.WriteHeader(409)
 	default:
 		k.execute(q.Orders)
+		if k.w.copies && k.w.rng.Intn(2) == 0 {
+			k.copyLater(body)
+		}
 	}
 	out.Write(k.report())
 }
 
+// copyLater has a copy of a call that was executed arrive once more, up to a minute late.
+func (k *worker) copyLater(body []byte) {
+	time.AfterFunc(time.Duration(500+k.w.rng.Intn(60000))*time.Millisecond, func() {
+		k.w.mu.Lock()
+		defer k.w.mu.Unlock()
+		var q struct {
+			Warrant uint64  `json:"warrant"`
+			Tenure  uint64  `json:"tenure"`
+			Orders  []order `json:"orders"`
+		}
+		json.Unmarshal(body, &q)
+		if k.m.gone || k.hung {
+			return
+		}
+		k.tick0()
+		if q.Tenure == k.tenure && q.Warrant >= k.warrant {
+			k.w.note("%s gets a copy of %d orders", k.m.id, len(q.Orders))
+			k.execute(q.Orders)
+		}
+	})
+}
+
 // tick0 ends an expired lease before anything else is done.
 func (k *worker) tick0() {
 	if time.Since(k.leaseFrom).Seconds() > k.w.d.leaseS {
--- a/review/tools-2/world.go
+++ b/review/tools-2/world.go
@@ -66,6 +66,8 @@
 	reportS, leaseS, gangWaitS, gangPeerS, cancelS float64
 	stateRPS, stateWriteRPS, valueKB               float64
 	txnOps                                         int
+	nextValueKB                                    float64 // announced limits, 0 if there are none
+	nextTxnOps                                     int
 	cloudRPS, listLagS                             float64
 	cores, memoryMB                                float64
 	fdLimit                                        int
@@ -125,6 +127,7 @@
 	cancelCheck sync.WaitGroup
 	crashes     int // controllers that ended by themselves
 	closing     bool
+	copies      bool        // calls of workers that were executed may arrive once more
 	onHalt      func(*task) // called before a halt is executed
 	rng         *rand.Rand
 }
@@ -143,6 +146,7 @@
 	ended   chan struct{}
 	killed  bool
 	turn    sync.Mutex // held during a restart
+	program []string   // with its folder first, if it isn't that of the deploy file
 }
 
 func fatal(format string, a ...any) {
@@ -241,6 +245,9 @@
 	}
 	fmt.Fprintf(&b, "\n[cluster.workers]\nreport_s = %f\nlease_s = %f\ngang_wait_s = %f\ngang_peer_s = %f\ncancel_s = %f\n", d.reportS, d.leaseS, d.gangWaitS, d.gangPeerS, d.cancelS)
 	fmt.Fprintf(&b, "\n[cluster.state]\nrps = %f\nwrite_rps = %f\nvalue_kb = %f\ntxn_ops = %d\n", d.stateRPS, d.stateWriteRPS, d.valueKB, d.txnOps)
+	if d.nextValueKB > 0 {
+		fmt.Fprintf(&b, "\n[cluster.state.next]\nvalue_kb = %f\ntxn_ops = %d\nwrite_rps = %f\n", d.nextValueKB, d.nextTxnOps, d.stateWriteRPS)
+	}
 	fmt.Fprintf(&b, "\n[cluster.cloud]\nrps = %f\nlist_lag_s = %f\n", d.cloudRPS, d.listLagS)
 	fmt.Fprintf(&b, "\n[cluster.resources]\ncores = %f\nmemory_mb = %f\nfd_limit = %d\n", d.cores, d.memoryMB, d.fdLimit)
 	n.config = filepath.Join(n.w.dir, n.name+".toml")
@@ -266,9 +273,12 @@
 
 // up starts the controller's process.
 func (n *node) up() {
-	args := append(n.w.startCommand(), n.config)
+	dir, args := n.w.root, append(n.w.startCommand(), n.config)
+	if len(n.program) > 0 {
+		dir, args = n.program[0], append(append([]string{}, n.program[1:]...), n.config)
+	}
 	cmd := exec.Command(args[0], args[1:]...)
-	cmd.Dir = n.w.root
+	cmd.Dir = dir
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	log, err := os.OpenFile(filepath.Join(n.w.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
