Logs and metrics show why a task counts as gone and how a new incarnation was learned

The records of the incident show that a task was started on a second machine while its first one held a lease. They don't show why the leader took it to be gone: the only line on it was at level debug and had no reason, and no line told when and from which message a new incarnation was learned.

Now at level info: the tasks that count as gone without a reported exit, one line a machine, with the evidence and the age of each premise; new incarnations of known agents with the message that showed them; and in "commands sent" the time that was believed to be left of the agent's lease when it got a start.

The computation of an agent's lease moves to a type of its own (agents.Leases), because the sender of commands needs it too. internal/transport may import lifecycle for the kinds of evidence.

--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -42,6 +42,7 @@
 		"internal/config",
 		"internal/coordination",
 		"internal/coordination/agents",
+		"internal/coordination/lifecycle",
 		"internal/coordination/reconcile",
 		"internal/protocol",
 		"internal/tuning",
--- a/internal/coordination/agents/agents.go
+++ b/internal/coordination/agents/agents.go
@@ -23,6 +23,7 @@
 	HeartbeatEnvironment
 	DeliveryEnvironment
 	LivenessEnvironment
+	LeaseEnvironment
 }
 
 // Fleet is what the package needs of the component that creates and deletes machines.
@@ -56,12 +57,17 @@
 	Delivery   *Delivery
 	Liveness   *Liveness
 	Calls      *Calls
+	Leases     *Leases
 }
 
 // New returns the Manager of a controller that has just become leader.
 func New(d Dependencies) *Manager {
+	leases := &Leases{state: d.State, env: d.Environment}
 	calls := &Calls{Limiter: NewLimiter(d.State.Config.Cluster.Process), state: d.State, client: d.Client}
-	delivery := &Delivery{state: d.State, lifecycle: d.Lifecycle, recovery: d.Recovery, calls: calls, env: d.Environment, log: d.Log, counters: d.Counters, term: d.Term, newest: d.Term}
+	delivery := &Delivery{
+		state: d.State, lifecycle: d.Lifecycle, recovery: d.Recovery, calls: calls, leases: leases, env: d.Environment, log: d.Log,
+		counters: d.Counters, term: d.Term, newest: d.Term,
+	}
 	heartbeats := &Heartbeats{
 		state: d.State, lifecycle: d.Lifecycle, recovery: d.Recovery, fleet: d.Fleet, delivery: delivery, env: d.Environment, log: d.Log, term: d.Term,
 		stored: storedRecords{state: d.State, env: d.Environment}, forgotten: newForgottenAttempts(), counters: d.Counters,
@@ -69,9 +75,9 @@
 	delivery.heartbeats = heartbeats
 	liveness := &Liveness{
 		state: d.State, lifecycle: d.Lifecycle, recovery: d.Recovery, scheduler: d.Scheduler, fleet: d.Fleet,
-		calls: calls, delivery: delivery, heartbeats: heartbeats, env: d.Environment, log: d.Log,
+		calls: calls, delivery: delivery, heartbeats: heartbeats, leases: leases, env: d.Environment, log: d.Log,
 	}
-	return &Manager{Heartbeats: heartbeats, Delivery: delivery, Liveness: liveness, Calls: calls}
+	return &Manager{Heartbeats: heartbeats, Delivery: delivery, Liveness: liveness, Calls: calls, Leases: leases}
 }
 
 // StoredAttempts returns the recorded attempts of every machine that the records name.
@@ -87,5 +93,5 @@
 // UnansweredLeaseExpiresAt returns the time at which the lease of any agent that this leader
 // has not responded to has certainly expired.
 func (m *Manager) UnansweredLeaseExpiresAt() time.Time {
-	return m.Liveness.LeaseExpiresAt(&cluster.Machine{})
+	return m.Leases.ExpiresAt(&cluster.Machine{})
 }
--- a/internal/coordination/agents/agents_test.go
+++ b/internal/coordination/agents/agents_test.go
@@ -42,7 +42,7 @@
 	l := &testLeader{state: clustertest.New(), logged: map[string]bool{}}
 	log, recovery := slog.New(slog.DiscardHandler), reconcile.NewRecoveryPhase()
 	state := l.state.State
-	l.lifecycle = lifecycle.New(state, recovery, l, log)
+	l.lifecycle = lifecycle.New(state, recovery, l, log, &lifecycle.Counters{})
 	l.scheduler = scheduler.New(state, l, log)
 	l.Manager = agents.New(agents.Dependencies{State: state, Lifecycle: l.lifecycle, Recovery: recovery, Scheduler: l.scheduler,
 		Fleet: l, Client: l, Environment: l, Log: log, Counters: &l.counters, Term: testTerm})
--- a/internal/coordination/agents/command_log.go
+++ b/internal/coordination/agents/command_log.go
@@ -1,20 +1,21 @@
 package agents
 
 import (
-	"fmt"
 	"strings"
 
 	"github.com/gappond/gappond/internal/coordination/cluster"
 	"github.com/gappond/gappond/internal/protocol"
 )
 
-// Counters counts what a controller sends to agents, over all its terms.
+// Counters counts what a controller sends to agents and learns from them, over all its terms.
 type Counters struct {
 	CallCommands      uint64 // commands in calls
 	ResponseCommands  uint64 // commands in responses to heartbeats
 	RefusedCalls      uint64 // calls that agents refused because of the token or the incarnation
 	NewerTokens       uint64 // newer tokens shown to agents
 	ForgottenReported uint64 // attempts that an agent reported after it had forgotten them
+	// New incarnations of known agents, by the message that showed them to the leader.
+	IncarnationsInHeartbeats, IncarnationsInCalls uint64
 }
 
 // String returns the name of the path in the log.
@@ -40,6 +41,9 @@
 	for _, kind := range []protocol.CommandKind{protocol.CommandStart, protocol.CommandStop, protocol.CommandForget} {
 		if names := attemptNames(commands, kind); names != "" {
 			attributes = append(attributes, string(kind), names)
+			if kind == protocol.CommandStart {
+				attributes = append(attributes, "lease_left", -d.state.SecondsSince(d.leases.ExpiresAt(machine)))
+			}
 		}
 	}
 	d.log.Info("commands sent", attributes...)
@@ -55,7 +59,7 @@
 		if names.Len() > 0 {
 			names.WriteByte(' ')
 		}
-		fmt.Fprintf(&names, "%s@%d", command.Task, command.Attempt)
+		names.WriteString(protocol.AttemptName(command.Task, command.Attempt))
 	}
 	return names.String()
 }
--- a/internal/coordination/agents/delivery.go
+++ b/internal/coordination/agents/delivery.go
@@ -31,6 +31,7 @@
 	lifecycle  *lifecycle.Manager
 	recovery   *reconcile.RecoveryPhase // counts the commands sent
 	calls      *Calls
+	leases     *Leases
 	heartbeats *Heartbeats
 	env        DeliveryEnvironment
 	log        *slog.Logger
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -68,6 +68,8 @@
 	reconciler reconcile.Reconciler
 	forgotten  forgottenAttempts
 	counters   *Counters
+	// released holds, by evidence, the attempts that the heartbeat being processed proves gone.
+	released [lifecycle.EvidenceKinds][]*cluster.Attempt
 }
 
 // source tells how an agent's state arrived.
@@ -78,6 +80,14 @@
 	fromCall                    // in the response to a call
 )
 
+// String returns the name of the source in the log.
+func (s source) String() string {
+	if s == fromCall {
+		return "call"
+	}
+	return "heartbeat"
+}
+
 // RefuseHigherToken refuses a heartbeat whose fencing token is above all that this leader has sent to
 // the agent, because the agent would ignore any response. It reports whether it refused the heartbeat.
 func (h *Heartbeats) RefuseHigherToken(heartbeat *protocol.Heartbeat) (refused bool) {
@@ -133,7 +143,7 @@
 	}
 	h.stored.startOutcomesKnown = from == fromHeartbeat
 	differences := h.reconciler.Compare(&h.stored, h.term, heartbeat)
-	h.observeIncarnation(machine, heartbeat)
+	h.observeIncarnation(machine, heartbeat, from)
 	h.observeLiveness(machine, heartbeat, from)
 	h.env.TokenConfirmed(machine)
 	if machine.Record == nil && machine.Agent.TokenConfirmed {
@@ -177,8 +187,9 @@
 
 // observeIncarnation stores the incarnation and sequence number of a heartbeat. A newer
 // incarnation of an agent has forgotten every attempt of an older one.
-func (h *Heartbeats) observeIncarnation(machine *cluster.Machine, heartbeat *protocol.Heartbeat) {
+func (h *Heartbeats) observeIncarnation(machine *cluster.Machine, heartbeat *protocol.Heartbeat, from source) {
 	if heartbeat.Incarnation > machine.Agent.Incarnation {
+		h.noteIncarnation(machine, heartbeat, from)
 		clear(machine.Delivery.DirectStarts)
 		if machine.Agent.TokenConfirmed && h.state.Now().Sub(machine.Agent.RespondedAt) < config.Seconds(h.state.Config.Cluster.Agents.LeaseS) {
 			// The agent's lease expired although its heartbeats got responses all the time.
@@ -188,6 +199,22 @@
 	machine.Agent.Incarnation, machine.Agent.Sequence = heartbeat.Incarnation, heartbeat.Sequence
 }
 
+// noteIncarnation records when and how the first message of an agent's newer incarnation arrived.
+func (h *Heartbeats) noteIncarnation(machine *cluster.Machine, heartbeat *protocol.Heartbeat, from source) {
+	machine.Agent.IncarnationSeenAt = h.state.Now()
+	if machine.Agent.Incarnation == 0 {
+		return // the first message of the agent
+	}
+	if from == fromCall {
+		h.counters.IncarnationsInCalls++
+	} else {
+		h.counters.IncarnationsInHeartbeats++
+	}
+	h.log.Info("agent began a new incarnation", "machine", machine.ID, "incarnation", heartbeat.Incarnation, "previous", machine.Agent.Incarnation,
+		"source", from.String(), "token", heartbeat.FencingToken, "heard_ago", h.state.SecondsSince(machine.Agent.LastHeartbeat),
+		"responded_ago", h.state.SecondsSince(machine.Agent.RespondedAt), "tasks", len(heartbeat.Tasks))
+}
+
 // observeLiveness records that a heartbeat has shown the agent to be alive.
 func (h *Heartbeats) observeLiveness(machine *cluster.Machine, heartbeat *protocol.Heartbeat, from source) {
 	now := h.state.Now()
--- /dev/null
+++ b/internal/coordination/agents/leases.go
@@ -0,0 +1,34 @@
+package agents
+
+import (
+	"time"
+
+	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/coordination/cluster"
+	"github.com/gappond/gappond/internal/tuning"
+)
+
+// LeaseEnvironment is what Leases needs of the leader.
+type LeaseEnvironment interface {
+	// ConfirmationGrace returns how long a leader may continue to respond to agents after its leader
+	// lease has expired, as long as its peers confirm it.
+	ConfirmationGrace() time.Duration
+}
+
+// Leases determines how long agents may hold their leases.
+type Leases struct {
+	state *cluster.State
+	env   LeaseEnvironment
+}
+
+// ExpiresAt returns the time at which an agent's lease has certainly expired. If this leader has
+// never responded to the agent, the previous leader may have done so until the end of its grace.
+func (ls *Leases) ExpiresAt(machine *cluster.Machine) time.Time {
+	grace := ls.env.ConfirmationGrace()
+	lastRenewal := ls.state.LeadingSince.Add(grace)
+	if machine.Agent.RespondedAt.After(lastRenewal) {
+		lastRenewal = machine.Agent.RespondedAt
+	}
+	lease := config.Seconds(ls.state.Config.Cluster.Agents.LeaseS)
+	return lastRenewal.Add(config.WithClockDrift(lease) + config.WithClockDrift(grace) - grace + tuning.LeaseExpiryMargin)
+}
--- a/internal/coordination/agents/liveness.go
+++ b/internal/coordination/agents/liveness.go
@@ -19,9 +19,6 @@
 	Leads() bool
 	// AllPeersReachable reports whether this controller has a link to every other one.
 	AllPeersReachable() bool
-	// ConfirmationGrace returns how long a leader may continue to respond to agents after its leader
-	// lease has expired, as long as its peers confirm it.
-	ConfirmationGrace() time.Duration
 }
 
 // Liveness determines which agents are alive. It probes silent agents, releases the tasks of
@@ -36,23 +33,11 @@
 	calls      *Calls
 	delivery   *Delivery
 	heartbeats *Heartbeats
+	leases     *Leases
 	env        LivenessEnvironment
 	log        *slog.Logger
 }
 
-// LeaseExpiresAt returns the time at which an agent's lease has certainly expired. If this
-// leader has never responded to the agent, the previous leader may have done so until the end of
-// its grace.
-func (l *Liveness) LeaseExpiresAt(machine *cluster.Machine) time.Time {
-	grace := l.env.ConfirmationGrace()
-	lastRenewal := l.state.LeadingSince.Add(grace)
-	if machine.Agent.RespondedAt.After(lastRenewal) {
-		lastRenewal = machine.Agent.RespondedAt
-	}
-	lease := config.Seconds(l.state.Config.Cluster.Agents.LeaseS)
-	return lastRenewal.Add(config.WithClockDrift(lease) + config.WithClockDrift(grace) - grace + tuning.LeaseExpiryMargin)
-}
-
 // suspectedPartitions holds the zones in which a network partition is suspected.
 type suspectedPartitions struct {
 	suspected map[protocol.ZoneName]bool
@@ -107,14 +92,16 @@
 // expireLease releases all tasks of an agent once its lease has certainly expired.
 func (l *Liveness) expireLease(machine *cluster.Machine) {
 	now := l.state.Now()
-	if machine.Agent.LeaseExpired || l.state.HeardRecently(machine) || !now.After(l.LeaseExpiresAt(machine)) {
+	if machine.Agent.LeaseExpired || l.state.HeardRecently(machine) || !now.After(l.leases.ExpiresAt(machine)) {
 		return
 	}
 	machine.Agent.LeaseExpired, machine.Agent.LeaseExpiredAt = true, now
 	l.log.Info("lease expired", "machine", machine.ID)
 	l.recovery.AgentAccountedFor(machine.ID)
-	for _, attempt := range cluster.SortedAttemptsOn(machine) {
-		l.lifecycle.RemoveGone(attempt)
+	attempts := cluster.SortedAttemptsOn(machine)
+	l.lifecycle.LogGone(machine, attempts, lifecycle.LeaseExpired)
+	for _, attempt := range attempts {
+		l.lifecycle.RemoveGone(attempt, lifecycle.LeaseExpired)
 	}
 }
 
--- a/internal/coordination/agents/reconciliation.go
+++ b/internal/coordination/agents/reconciliation.go
@@ -5,6 +5,7 @@
 
 	"github.com/gappond/gappond/internal/config"
 	"github.com/gappond/gappond/internal/coordination/cluster"
+	"github.com/gappond/gappond/internal/coordination/lifecycle"
 	"github.com/gappond/gappond/internal/coordination/reconcile"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
@@ -91,7 +92,7 @@
 			absenceUnproven = absenceUnproven || d.TokenCurrent
 		case reconcile.Release:
 			if attempt := machine.Attempts[key]; attempt != nil {
-				h.lifecycle.RemoveGone(attempt)
+				h.release(attempt, heartbeat)
 			}
 		case reconcile.Stop:
 			h.stopOrphan(machine, key, &heartbeat.Tasks[d.EntryIndex], d)
@@ -99,10 +100,30 @@
 			h.recordEnd(machine, key, &heartbeat.Tasks[d.EntryIndex])
 		}
 	}
+	h.logReleased(machine)
 	h.noteForgotten(machine)
 	h.deleteIfUnreadable(machine, hasUnnamedEntry, absenceUnproven)
 }
 
+// release removes an attempt that a heartbeat proves gone without showing its exit.
+func (h *Heartbeats) release(attempt *cluster.Attempt, heartbeat *protocol.Heartbeat) {
+	evidence := lifecycle.AbsenceReported
+	if attempt.Incarnation < heartbeat.Incarnation {
+		evidence = lifecycle.IncarnationEnded
+	}
+	h.released[evidence] = append(h.released[evidence], attempt)
+	h.lifecycle.RemoveGone(attempt, evidence)
+}
+
+// logReleased logs the attempts that the last heartbeat proved gone.
+func (h *Heartbeats) logReleased(machine *cluster.Machine) {
+	for evidence := range h.released {
+		h.lifecycle.LogGone(machine, h.released[evidence], lifecycle.Evidence(evidence))
+		clear(h.released[evidence])
+		h.released[evidence] = h.released[evidence][:0]
+	}
+}
+
 // noteForgotten remembers the attempts that the agent was told to forget and no longer shows.
 func (h *Heartbeats) noteForgotten(machine *cluster.Machine) {
 	for key := range machine.Delivery.ForgetSentAt {
@@ -189,7 +210,7 @@
 	}
 	attempt.ObserveExit()
 	h.lifecycle.HandleExit(attempt, entry)
-	h.lifecycle.RemoveGone(attempt)
+	h.lifecycle.RemoveGone(attempt, lifecycle.ExitReported)
 }
 
 // handleUnreadableEntry handles an entry that is invalid or of a job whose record cannot be read.
--- a/internal/coordination/agents_environment.go
+++ b/internal/coordination/agents_environment.go
@@ -42,7 +42,7 @@
 	return len(ae.l.n.peers.ReachableNames()) == len(ae.l.n.cfg.Peers)
 }
 
-// ConfirmationGrace implements agents.LivenessEnvironment.
+// ConfirmationGrace implements agents.LeaseEnvironment.
 func (ae agentsEnvironment) ConfirmationGrace() time.Duration {
 	return ae.l.n.election.LeaderGrace()
 }
--- a/internal/coordination/cluster/agent.go
+++ b/internal/coordination/cluster/agent.go
@@ -18,8 +18,10 @@
 	HigherToken    protocol.Term        // a token above this leader's term that the agent has reported
 	LastHeartbeat  time.Time            // arrival of the newest heartbeat, alone or in the response to a call
 	RespondedAt    time.Time            // last response to a heartbeat: the agent's lease starts no later
-	LeaseExpired   bool                 // the lease has certainly expired since the last heartbeat
-	LeaseExpiredAt time.Time            // when the expiry was detected
+	// IncarnationSeenAt is the arrival of the first message of the newest incarnation.
+	IncarnationSeenAt time.Time
+	LeaseExpired      bool      // the lease has certainly expired since the last heartbeat
+	LeaseExpiredAt    time.Time // when the expiry was detected
 
 	EverResponded        bool // a heartbeat of the agent has got a response
 	IneffectiveResponses int  // consecutive responses and commands that seem not to have arrived
--- a/internal/coordination/cluster/liveness.go
+++ b/internal/coordination/cluster/liveness.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"math"
 	"time"
 
 	"github.com/gappond/gappond/internal/config"
@@ -139,3 +140,15 @@
 	}
 	return false
 }
+
+// neverHappened is the age of an event that has not happened.
+const neverHappened = -1
+
+// SecondsSince returns the age of an event in seconds for the log, to the millisecond. It is negative
+// if the event lies ahead.
+func (st *State) SecondsSince(event time.Time) float64 {
+	if event.IsZero() {
+		return neverHappened
+	}
+	return math.Round(st.Now().Sub(event).Seconds()*1000) / 1000
+}
--- a/internal/coordination/commit/leader_test.go
+++ b/internal/coordination/commit/leader_test.go
@@ -122,7 +122,7 @@
 	l.limits = commit.NewKnownLimits(l.Config)
 	writes := limits.WriteRPS * tuning.WriteBudgetShare
 	l.budget = rate.NewLimiter(rate.Limit(writes), int(writes))
-	l.lifecycle = lifecycle.New(l.State, reconcile.NewRecoveryPhase(), l, log)
+	l.lifecycle = lifecycle.New(l.State, reconcile.NewRecoveryPhase(), l, log, &lifecycle.Counters{})
 	l.scheduler = scheduler.New(l.State, l, log)
 	l.committer = commit.New(commit.Dependencies{State: l.State, Store: l, Limits: l.limits, Environment: l, Outcomes: l, Log: log, Term: testTerm})
 	l.loader = loader.New(l.State, l.committer, l, log)
@@ -215,13 +215,15 @@
 func (l *leader) StepDown(reason string) { l.steppedDown = reason }
 
 // DropAttempt implements commit.Outcomes.
-func (l *leader) DropAttempt(attempt *cluster.Attempt) { l.lifecycle.RemoveGone(attempt) }
+func (l *leader) DropAttempt(attempt *cluster.Attempt) {
+	l.lifecycle.RemoveGone(attempt, lifecycle.ExitReported)
+}
 
 // DropUncommitted implements commit.Outcomes.
 func (l *leader) DropUncommitted(job *cluster.Job) {
 	for _, attempt := range job.SortedAttempts() {
 		if !attempt.Committed {
-			l.lifecycle.RemoveGone(attempt)
+			l.lifecycle.RemoveGone(attempt, lifecycle.ExitReported)
 		}
 	}
 }
--- a/internal/coordination/commit/record_splitter_test.go
+++ b/internal/coordination/commit/record_splitter_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/gappond/gappond/internal/coordination/cluster"
 	"github.com/gappond/gappond/internal/coordination/kv"
+	"github.com/gappond/gappond/internal/coordination/lifecycle"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
 	"github.com/gappond/gappond/internal/tuning"
@@ -247,8 +248,8 @@
 			t.Fatal("the tasks have no active attempts")
 		}
 		l.lifecycle.MarkDone(job, ended)
-		l.lifecycle.RemoveGone(endedAttempt)
-		l.lifecycle.RemoveGone(lostAttempt)
+		l.lifecycle.RemoveGone(endedAttempt, lifecycle.ExitReported)
+		l.lifecycle.RemoveGone(lostAttempt, lifecycle.ExitReported)
 		if l.scheduler.WaitingTasks(job) != 0 {
 			t.Error("tasks wait for placement while the record is being split")
 		}
@@ -324,7 +325,7 @@
 	job := l.Jobs[record.Spec.ID]
 	l.CancelJob(job)
 	for _, attempt := range job.SortedAttempts() {
-		l.lifecycle.RemoveGone(attempt)
+		l.lifecycle.RemoveGone(attempt, lifecycle.ExitReported)
 	}
 	deleted := false
 	for range 5 {
--- a/internal/coordination/commit_outcomes.go
+++ b/internal/coordination/commit_outcomes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gappond/gappond/internal/coordination/cluster"
+	"github.com/gappond/gappond/internal/coordination/lifecycle"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
 )
@@ -12,7 +13,9 @@
 type commitOutcomes struct{ l *leader }
 
 // DropAttempt implements commit.Outcomes.
-func (co commitOutcomes) DropAttempt(attempt *cluster.Attempt) { co.l.lifecycle.RemoveGone(attempt) }
+func (co commitOutcomes) DropAttempt(attempt *cluster.Attempt) {
+	co.l.lifecycle.RemoveGone(attempt, lifecycle.StartNotSent)
+}
 
 // DropUncommitted implements commit.Outcomes.
 func (co commitOutcomes) DropUncommitted(job *cluster.Job) { co.l.dropUncommitted(job) }
@@ -28,7 +31,7 @@
 	}
 	for _, attempt := range placed {
 		if attempt.Stopping && !attempt.StartSent {
-			co.l.lifecycle.RemoveGone(attempt) // stopped before its start was sent
+			co.l.lifecycle.RemoveGone(attempt, lifecycle.StartNotSent) // stopped before its start was sent
 		}
 	}
 	for _, attempt := range job.SortedAttempts() {
--- a/internal/coordination/failures_test.go
+++ b/internal/coordination/failures_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gappond/gappond/internal/coordination/cluster"
+	"github.com/gappond/gappond/internal/coordination/lifecycle"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
 	"github.com/gappond/gappond/internal/tuning"
@@ -20,7 +21,7 @@
 		job := l.testJob(gangOf(1, 1))
 		attempt := l.cluster.AddAttempt(job, 0, 1, machine, 1)
 		l.lifecycle.HandleExit(attempt, &protocol.TaskStatus{Cause: protocol.CauseError})
-		l.lifecycle.RemoveGone(attempt)
+		l.lifecycle.RemoveGone(attempt, lifecycle.ExitReported)
 	}
 	if l.cluster.Schedulable(machine) || !machine.Record.Queued {
 		t.Errorf("schedulable %v, record to be written %v", l.cluster.Schedulable(machine), machine.Record.Queued)
@@ -51,7 +52,7 @@
 		machine := l.testMachine(protocol.MachineID(fmt.Sprintf("i-%d", 10+i)), "small", "b")
 		attempt := l.cluster.AddAttempt(job, 0, protocol.AttemptNumber(i+1), machine, 1)
 		l.lifecycle.HandleExit(attempt, &protocol.TaskStatus{Cause: protocol.CauseError})
-		l.lifecycle.RemoveGone(attempt)
+		l.lifecycle.RemoveGone(attempt, lifecycle.ExitReported)
 		machine.Cordoned = true
 		if machine.Quarantined {
 			t.Errorf("%s is quarantined because of a job that fails everywhere", machine.ID)
@@ -99,7 +100,7 @@
 	if survivor.ReservedFor != job {
 		t.Error("the surviving machine is not reserved")
 	}
-	l.lifecycle.RemoveGone(job.SortedAttempts()[0])
+	l.lifecycle.RemoveGone(job.SortedAttempts()[0], lifecycle.ExitReported)
 	l.runSchedulingCycle()
 	on := map[*cluster.Machine]bool{}
 	for _, attempt := range job.Attempts {
--- a/internal/coordination/fleet.go
+++ b/internal/coordination/fleet.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/gappond/gappond/internal/coordination/cluster"
+	"github.com/gappond/gappond/internal/coordination/lifecycle"
 	"github.com/gappond/gappond/internal/protocol"
 )
 
@@ -16,8 +17,10 @@
 			continue
 		}
 		l.autoscaler.MachineDeleted(id)
-		for _, attempt := range cluster.SortedAttemptsOn(machine) {
-			l.lifecycle.RemoveGone(attempt)
+		attempts := cluster.SortedAttemptsOn(machine)
+		l.lifecycle.LogGone(machine, attempts, lifecycle.MachineDeleted)
+		for _, attempt := range attempts {
+			l.lifecycle.RemoveGone(attempt, lifecycle.MachineDeleted)
 		}
 		machine.ReleaseReservation()
 		delete(l.cluster.Machines, id)
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -48,7 +48,7 @@
 		cluster: cluster.NewState(n.cfg, n.machineTypes.byName, func() time.Time { return n.now }),
 	}
 	shared, store, term := leaderEnvironment{l}, leaderStore{l}, n.election.Term()
-	l.lifecycle = lifecycle.New(l.cluster, l.recovery, lifecycleEnvironment{shared}, n.log)
+	l.lifecycle = lifecycle.New(l.cluster, l.recovery, lifecycleEnvironment{shared}, n.log, &n.metrics.Lifecycle)
 	l.scheduler = scheduler.New(l.cluster, schedulerEnvironment{shared}, n.log)
 	l.autoscaler = autoscaler.New(l.cluster, l.scheduler, cloudClient{l}, autoscalerEnvironment{shared}, n.log)
 	l.agents = agents.New(agents.Dependencies{
@@ -131,7 +131,7 @@
 func (l *leader) dropUncommitted(job *cluster.Job) {
 	for _, attempt := range job.SortedAttempts() {
 		if !attempt.Committed {
-			l.lifecycle.RemoveGone(attempt)
+			l.lifecycle.RemoveGone(attempt, lifecycle.StartNotSent)
 		}
 	}
 }
--- a/internal/coordination/lifecycle/lifecycle.go
+++ b/internal/coordination/lifecycle/lifecycle.go
@@ -38,21 +38,23 @@
 	recovery *reconcile.RecoveryPhase // counts the gangs found incomplete
 	env      Environment
 	log      *slog.Logger
+	counters *Counters
 }
 
 // New returns a manager.
-func New(state *cluster.State, recovery *reconcile.RecoveryPhase, env Environment, log *slog.Logger) *Manager {
-	return &Manager{state: state, recovery: recovery, env: env, log: log}
+func New(state *cluster.State, recovery *reconcile.RecoveryPhase, env Environment, log *slog.Logger, counters *Counters) *Manager {
+	return &Manager{state: state, recovery: recovery, env: env, log: log, counters: counters}
 }
 
 // RemoveGone removes an attempt that is proven gone from the accounting, and handles what
 // follows for its gang and its job.
-func (m *Manager) RemoveGone(attempt *cluster.Attempt) {
+func (m *Manager) RemoveGone(attempt *cluster.Attempt, evidence Evidence) {
 	job, machine := attempt.Job, attempt.Machine
 	if !m.state.RemoveAttempt(attempt) {
 		return
 	}
-	m.log.Debug("task gone", "job", job.ID, "task", attempt.Key.Index, "attempt", attempt.Key.Number, "machine", machine.ID, "state", attempt.ReportedState)
+	m.log.Debug("task gone", "job", job.ID, "task", attempt.Key.Index, "attempt", attempt.Key.Number, "machine", machine.ID, "state", attempt.ReportedState, "evidence", evidence.String())
+	m.counters.GoneAttempts[evidence]++
 	m.env.RequestScheduling()
 	if job.Spec.Gang() && !attempt.Orphaned && !job.Complete() && !job.Stopping && len(job.Attempts) > 0 {
 		m.reserveSurvivingMachines(job)
--- a/internal/coordination/lifecycle/lifecycle_test.go
+++ b/internal/coordination/lifecycle/lifecycle_test.go
@@ -27,7 +27,7 @@
 func newTestLeader() *testLeader {
 	l := &testLeader{Cluster: clustertest.New(), changed: map[*cluster.Job]bool{}, recorded: map[*cluster.Machine]bool{},
 		pending: map[*cluster.Machine]bool{}, unreadable: map[protocol.JobID]bool{}}
-	l.Manager = lifecycle.New(l.State, reconcile.NewRecoveryPhase(), l, slog.New(slog.DiscardHandler))
+	l.Manager = lifecycle.New(l.State, reconcile.NewRecoveryPhase(), l, slog.New(slog.DiscardHandler), &lifecycle.Counters{})
 	return l
 }
 
@@ -52,7 +52,7 @@
 	l := newTestLeader()
 	machine := l.AddMachine("i-1", "big", "a")
 	job := l.addRunningJob(clustertest.Gang(3, 1), machine)
-	l.RemoveGone(job.SortedAttempts()[0])
+	l.RemoveGone(job.SortedAttempts()[0], lifecycle.ExitReported)
 	if len(job.Attempts) != 2 || clustertest.Stopping(job) != 2 || !job.Stopping || !l.pending[machine] || !l.scheduling {
 		t.Errorf("%d attempts, %d of them stopping, commands pending: %v", len(job.Attempts), clustertest.Stopping(job), l.pending[machine])
 	}
@@ -60,7 +60,7 @@
 		t.Errorf("surviving machines %v, machine reserved for %v", job.SurvivingMachines, machine.ReservedFor)
 	}
 	for _, attempt := range job.SortedAttempts() {
-		l.RemoveGone(attempt)
+		l.RemoveGone(attempt, lifecycle.ExitReported)
 	}
 	if job.Stopping || len(job.Attempts) != 0 {
 		t.Errorf("gang stopping: %v, with %d attempts left", job.Stopping, len(job.Attempts))
--- a/internal/coordination/lifecycle/review_test.go
+++ b/internal/coordination/lifecycle/review_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/gappond/gappond/internal/coordination/cluster"
 	"github.com/gappond/gappond/internal/coordination/clustertest"
+	"github.com/gappond/gappond/internal/coordination/lifecycle"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
 )
@@ -24,7 +25,7 @@
 	attempt := l.AddAttempt(job, 0, job.Tasks[0].LastAttempt+1, machine, 1)
 	job.Tasks[0].LastAttempt++
 	l.HandleExit(attempt, failed)
-	l.RemoveGone(attempt)
+	l.RemoveGone(attempt, lifecycle.ExitReported)
 }
 
 // quarantine has as many jobs fail on a machine as it takes to quarantine it.
--- a/internal/coordination/lifecycle/stop.go
+++ b/internal/coordination/lifecycle/stop.go
@@ -11,7 +11,7 @@
 func (m *Manager) Stop(attempt *cluster.Attempt, graceS float64) {
 	attempt.RequestStop(graceS)
 	if !attempt.StartSent && !(attempt.Job.Write.InFlight && !attempt.Committed) {
-		m.RemoveGone(attempt)
+		m.RemoveGone(attempt, StartNotSent)
 		return
 	}
 	m.env.CommandsPending(attempt.Machine)
--- a/internal/coordination/metrics.go
+++ b/internal/coordination/metrics.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gappond/gappond/internal/coordination/agents"
+	"github.com/gappond/gappond/internal/coordination/lifecycle"
 	"github.com/gappond/gappond/internal/coordination/reconcile"
 	"github.com/gappond/gappond/internal/protocol"
 )
@@ -17,6 +18,7 @@
 	Now                                                                  time.Time
 	Recovery                                                             reconcile.Summary // of this leader's failover
 	Agents                                                               agents.Counters
+	Lifecycle                                                            lifecycle.Counters
 }
 
 // TakeMetrics returns the metrics and clears the observations.
--- a/internal/coordination/restore_environment.go
+++ b/internal/coordination/restore_environment.go
@@ -11,7 +11,7 @@
 
 // LeaseExpiresAt implements restore.Environment.
 func (re restoreEnvironment) LeaseExpiresAt(machine *cluster.Machine) time.Time {
-	return re.l.agents.Liveness.LeaseExpiresAt(machine)
+	return re.l.agents.Leases.ExpiresAt(machine)
 }
 
 // DeleteMachine implements restore.Environment.
--- a/internal/protocol/agent.go
+++ b/internal/protocol/agent.go
@@ -110,6 +110,11 @@
 // TaskName returns the name of a job's task.
 func TaskName(jobID JobID, index int) string { return string(jobID) + "/" + strconv.Itoa(index) }
 
+// AttemptName returns the name of an attempt of a task in logs.
+func AttemptName(task string, attempt AttemptNumber) string {
+	return task + "@" + strconv.FormatUint(uint64(attempt), 10)
+}
+
 // Command tells an agent what to do with an attempt of a task.
 type Command struct {
 	Kind    CommandKind   `json:"verb"`
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -16,6 +16,7 @@
 	commits, commitConflicts, repairs, preemptions, starts              prometheus.Counter
 	commitSeconds, startWaitSeconds                                     prometheus.Histogram
 	agents                                                              *agentMetrics
+	lifecycle                                                           *lifecycleMetrics
 	recovery                                                            *recoveryMetrics
 	last                                                                coordination.Metrics
 }
@@ -52,6 +53,7 @@
 	m.commitSeconds = histogram("gappond_commit_seconds", "Time a transaction took.", []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5})
 	m.startWaitSeconds = histogram("gappond_start_wait_seconds", "Time from a job's submission to a task's start order.", []float64{.1, .5, 1, 2.5, 5, 10, 20, 40, 80, 160, 320})
 	m.agents = newAgentMetrics(m.registry)
+	m.lifecycle = newLifecycleMetrics(m.registry)
 	m.recovery = newRecoveryMetrics(m.registry)
 	return m
 }
@@ -90,6 +92,7 @@
 		m.startWaitSeconds.Observe(s)
 	}
 	m.agents.update(current.Agents)
+	m.lifecycle.update(current.Lifecycle)
 	m.recovery.update(current.Recovery, current.Now)
 	m.last = current
 }
