--- a/internal/simulation/agent.go
+++ b/internal/simulation/agent.go
@@ -33,6 +33,7 @@
 	failsTasks         bool
 	failedTasks        int       // tasks that have failed because of failsTasks
 	opensNoConnections bool      // the agent's heartbeats reach no controller
+	losesResponses     bool      // the agent's heartbeats arrive, but no response to them does
 	tokenReportedAt    time.Time // when a higher token last caused an early heartbeat
 }
 
--- a/internal/simulation/fault_injection_test.go
+++ b/internal/simulation/fault_injection_test.go
@@ -23,6 +23,21 @@
 	}
 }
 
+// beginSessionUnheard has a machine lose the responses to its heartbeats, then the heartbeats as well
+// until its lease has expired, while calls reach it. Then it hangs for the time hang, during which the
+// cloud refuses every request.
+func (w *World) beginSessionUnheard(machine *agent, hang time.Duration) {
+	machine.losesResponses = true
+	lease := secs(w.shape.Agents.LeaseS)
+	w.after(w.between(lease/2, lease), func() { machine.opensNoConnections = true })
+	w.after(w.between(lease, lease*3/2), func() {
+		machine.losesResponses, machine.opensNoConnections = false, false
+		machine.hang(hang)
+		w.cloud.down = true
+		w.after(hang, func() { w.cloud.down = false })
+	})
+}
+
 // replayHeartbeatsToNextLeader records all heartbeats until the next leader takes over, and then
 // delivers copies of them to every controller within 20 ms. If no new leader appears within d, the
 // copies are dropped.
--- a/internal/simulation/fault_kinds_test.go
+++ b/internal/simulation/fault_kinds_test.go
@@ -165,6 +165,15 @@
 	w.delayCommandCopies(0.5, 2*d.duration)
 }}
 
+// lateSessionKind is the kind of fault in which the leases of two machines expire although their last
+// heartbeats arrived, calls show their next session, and then nothing more is heard of them. Like
+// commandCopiesKind it is not among faultKinds.
+var lateSessionKind = faultKind{"responses lost, then heartbeats, then machines hang", func(w *World, d faultParameters) {
+	for _, machine := range w.randomMachines(2) {
+		w.beginSessionUnheard(machine, d.duration)
+	}
+}}
+
 // injectFault injects one fault of a random kind.
 func (w *World) injectFault() { w.injectFaultOf(faultKinds) }
 
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -142,8 +142,13 @@
 	}
 	c := w.nodes[node]
 	w.call(from, c.name, timeout, func(respond responseFunc) {
-		if agent := w.agents[protocol.MachineID(from)]; agent == nil || !agent.opensNoConnections {
-			c.ask(r, respond)
+		agent := w.agents[protocol.MachineID(from)]
+		if agent != nil && agent.opensNoConnections {
+			return
+		}
+		if agent != nil && agent.losesResponses {
+			respond = func(int, []byte) {}
 		}
+		c.ask(r, respond)
 	}, done)
 }
