The lease of a session that a call has shown is not presumed to have expired early

Cause: the leader counted an agent's lease from its last response to a heartbeat. An agent also begins each session with a full lease, and a session can be shown to the leader by the response to a probe or to a call, which is no heartbeat. The last response was then to the session before. A machine that falls silent after a start in such a session lost its tasks in the leader's model one lease after that response, while they ran on.

Change: the arrival of the first message of an incarnation, in whatever way, counts as a renewal. The incarnation began before, so its lease cannot end later than that arrival plus a lease. Where a heartbeat shows the incarnation, the arrival is the time of the response, so nothing changes there.

Tasks of sessions that a heartbeat has shown start elsewhere as soon as before.

--- a/internal/coordination/agents/leases.go
+++ b/internal/coordination/agents/leases.go
@@ -21,13 +21,17 @@
 	env   LeaseEnvironment
 }
 
-// ExpiresAt returns the time at which an agent's lease has certainly expired. If this leader has
-// never responded to the agent, the previous leader may have done so until the end of its grace.
+// ExpiresAt returns the time at which the lease of an agent's newest known incarnation has certainly
+// expired. A response renews the lease, and an incarnation begins with a full one. It began before its
+// first message arrived, in whatever way. If this leader has never responded to the agent, the
+// previous leader may have done so until the end of its grace.
 func (ls *Leases) ExpiresAt(machine *cluster.Machine) time.Time {
 	grace := ls.env.ConfirmationGrace()
 	lastRenewal := ls.state.LeadingSince.Add(grace)
-	if machine.Agent.RespondedAt.After(lastRenewal) {
-		lastRenewal = machine.Agent.RespondedAt
+	for _, renewal := range []time.Time{machine.Agent.RespondedAt, machine.Agent.IncarnationSeenAt} {
+		if renewal.After(lastRenewal) {
+			lastRenewal = renewal
+		}
 	}
 	lease := config.Seconds(ls.state.Config.Cluster.Agents.LeaseS)
 	return lastRenewal.Add(config.WithClockDrift(lease) + config.WithClockDrift(grace) - grace + tuning.LeaseExpiryMargin)
