Tests for guards of fencing that could be taken out unnoticed

With each guard taken out, one at a time, the tests of packages agents and reconcile passed: an exit in a heartbeat without the leader's token; a start in a response that a call cannot disprove; the last response, the clock drift and a recently heard agent in the presumed expiry of a lease. No code changes.

--- a/internal/coordination/agents/leases_test.go
+++ b/internal/coordination/agents/leases_test.go
@@ -8,6 +8,7 @@
 	"github.com/gappond/gappond/internal/coordination/agents"
 	"github.com/gappond/gappond/internal/coordination/cluster"
 	"github.com/gappond/gappond/internal/protocol"
+	"github.com/gappond/gappond/internal/tuning"
 )
 
 // incarnationMessages are the messages that can show a newer incarnation of an agent to the leader.
@@ -46,10 +47,8 @@
 	for _, message := range incarnationMessages {
 		t.Run(message.name, func(t *testing.T) {
 			l := newTestLeader()
-			machine, job := l.machine("i-1", "a"), l.job(protocol.ShapeArray, 1)
-			attempt := l.state.AddAttempt(job, 0, firstAttempt.Number, machine, 1)
-			attempt.MarkCommitted()
-			attempt.MarkStartSent()
+			machine := l.machine("i-1", "a")
+			job, _ := l.runningAttempt(machine)
 			lease := config.Seconds(l.state.Config.Cluster.Agents.LeaseS)
 			l.state.Advance(testGrace + lease/2)
 
@@ -73,3 +72,75 @@
 		})
 	}
 }
+
+// runningAttempt adds an attempt of a new job that the machine's agent has reported as running.
+func (l *testLeader) runningAttempt(machine *cluster.Machine) (*cluster.Job, protocol.TaskStatus) {
+	job := l.job(protocol.ShapeArray, 1)
+	attempt := l.state.AddAttempt(job, 0, firstAttempt.Number, machine, machine.Agent.Incarnation)
+	attempt.MarkCommitted()
+	attempt.MarkStartSent()
+	running := protocol.TaskStatus{Task: protocol.TaskName(job.ID, 0), Attempt: firstAttempt.Number, State: protocol.TaskRunning}
+	return job, running
+}
+
+// TestLeaseIsPresumedExpiredOnlyAfterLastResponse guards against a lease that is presumed to have
+// expired while the agent, by a slow clock, still holds it.
+func TestLeaseIsPresumedExpiredOnlyAfterLastResponse(t *testing.T) {
+	l := newTestLeader()
+	machine := l.machine("i-1", "a")
+	job, running := l.runningAttempt(machine)
+	lease := config.Seconds(l.state.Config.Cluster.Agents.LeaseS)
+	l.state.Advance(2 * (lease + testGrace))
+	l.accept(t, heartbeat(machine, testTerm, running))
+
+	l.state.Advance(config.WithClockDrift(lease))
+	l.Liveness.Tick()
+	if len(job.Attempts) != 1 {
+		t.Error("attempt released before the lease has expired by the agent's clock")
+	}
+	l.state.Advance(3 * time.Second)
+	l.Liveness.Tick()
+	if len(job.Attempts) != 0 {
+		t.Error("attempt not released after the lease has expired")
+	}
+}
+
+// TestRunningTaskShownInCallIsNotReleased guards against a lease that is presumed to have expired
+// although the agent shows the task in its responses to calls.
+func TestRunningTaskShownInCallIsNotReleased(t *testing.T) {
+	l := newTestLeader()
+	machine := l.machine("i-1", "a")
+	job, running := l.runningAttempt(machine)
+	lease := config.Seconds(l.state.Config.Cluster.Agents.LeaseS)
+	for range int(2 * (lease + testGrace) / time.Second) {
+		l.state.Advance(time.Second)
+		l.Heartbeats.ObserveCallResult(machine, agents.CallResult{Outcome: agents.Executed, Heartbeat: heartbeat(machine, testTerm, running)})
+		machine.Agent.IneffectiveResponses = tuning.MaxIneffectiveResponses // has its lease checked although it was heard
+		l.Liveness.Tick()
+	}
+	if len(job.Attempts) != 1 {
+		t.Error("attempt released although the agent shows it")
+	}
+}
+
+// TestStartInResponseIsNotProvenAbsentByCall guards against a task that is started elsewhere while a
+// response with its start is on its way, because a call shows the agent without it.
+func TestStartInResponseIsNotProvenAbsentByCall(t *testing.T) {
+	l := newTestLeader()
+	machine := l.machine("i-1", "a")
+	job := l.job(protocol.ShapeArray, 1)
+	attempt := l.state.AddAttempt(job, 0, firstAttempt.Number, machine, machine.Agent.Incarnation)
+	attempt.MarkCommitted()
+	if got := l.accept(t, heartbeat(machine, testTerm)); got != "start " {
+		t.Fatalf("commands %q, want the start", got)
+	}
+	l.Stop(attempt, 0) // the leader no longer sends the start again
+	l.Heartbeats.ObserveCallResult(machine, agents.CallResult{Outcome: agents.Executed, Heartbeat: heartbeat(machine, testTerm)})
+	if len(job.Attempts) != 1 {
+		t.Error("attempt released by a call while the response with its start is on its way")
+	}
+	l.accept(t, heartbeat(machine, testTerm))
+	if len(job.Attempts) != 0 {
+		t.Error("attempt not released by the next heartbeat, which was sent after the response")
+	}
+}
--- a/internal/coordination/reconcile/reconcile_test.go
+++ b/internal/coordination/reconcile/reconcile_test.go
@@ -362,6 +362,7 @@
 		"unknown state":                        {currentHeartbeat(entry(1, 0, 3, "dreaming", ""), replica), map[AttemptID][]Class{{TaskID{jobID(1), 0}, 3}: {Matching, Unreadable}}},
 		"contradictory entries":                {currentHeartbeat(entry(1, 0, 3, protocol.TaskExited, protocol.CauseDone), entry(1, 0, 3, protocol.TaskRunning, ""), replica), map[AttemptID][]Class{{TaskID{jobID(1), 0}, 3}: {Unreadable, Unreadable}}},
 		"duplicate entries":                    {currentHeartbeat(entry(1, 0, 3, protocol.TaskRunning, ""), entry(1, 0, 3, protocol.TaskRunning, ""), replica), map[AttemptID][]Class{{TaskID{jobID(1), 0}, 3}: {Matching}}},
+		"exited, without the current token":    {&protocol.Heartbeat{Machine: "m0", Incarnation: 1, Sequence: 2, Tasks: []protocol.TaskStatus{entry(1, 0, 3, protocol.TaskExited, protocol.CauseError)}}, map[AttemptID][]Class{{TaskID{jobID(1), 0}, 3}: {NotYetReported}}},
 		"task done, without the current token": {&protocol.Heartbeat{Machine: "m0", Incarnation: 1, Sequence: 2, Tasks: []protocol.TaskStatus{entry(1, 0, 2, protocol.TaskExited, protocol.CauseDone)}}, map[AttemptID][]Class{{TaskID{jobID(1), 0}, 2}: {ReportedEnded}}},
 		"newer incarnation":                    {&protocol.Heartbeat{Machine: "m0", Incarnation: 2, Sequence: 1}, map[AttemptID][]Class{{TaskID{jobID(1), 0}, 3}: {ReportedAbsent}, {TaskID{jobID(1), 3}, 1}: {ReportedAbsent}}},
 	} {
