--- a/internal/coordination/agents/leases_test.go
+++ b/internal/coordination/agents/leases_test.go
@@ -79,6 +79,7 @@
 	attempt := l.state.AddAttempt(job, 0, firstAttempt.Number, machine, machine.Agent.Incarnation)
 	attempt.MarkCommitted()
 	attempt.MarkStartSent()
+	attempt.ObserveState(protocol.TaskRunning, l.state.Now())
 	running := protocol.TaskStatus{Task: protocol.TaskName(job.ID, 0), Attempt: firstAttempt.Number, State: protocol.TaskRunning}
 	return job, running
 }
--- a/internal/coordination/failures_test.go
+++ b/internal/coordination/failures_test.go
@@ -135,3 +135,18 @@
 	}
 	t.Errorf("the machine record still shows it as cordoned: %s", storage.Encode(txn.Changes))
 }
+
+// TestCommitReleasesNoStartedAttempt guards against an attempt that is being stopped and is released
+// because a transaction with its placement has been committed, while it still runs.
+func TestCommitReleasesNoStartedAttempt(t *testing.T) {
+	l := testLeader(time.Unix(1_800_000_000, 0))
+	machine := l.testMachine("i-1", "big", "a")
+	job := l.testJob(gangOf(1, 1))
+	started := l.cluster.AddAttempt(job, 0, 1, machine, 1)
+	started.MarkStartSent()
+	started.RequestStop(0)
+	commitOutcomes{l}.JobCommitted(job, []*cluster.Attempt{started})
+	if len(job.Attempts) != 1 {
+		t.Error("released although its start was sent")
+	}
+}
