--- a/internal/coordination/agents/leases_test.go
+++ b/internal/coordination/agents/leases_test.go
@@ -104,6 +104,12 @@
 	if len(job.Attempts) != 0 {
 		t.Error("attempt not released after the lease has expired")
 	}
+	next := heartbeat(machine, testTerm)
+	next.Incarnation, next.Sequence = 2, 1
+	l.accept(t, next)
+	if !l.state.ConfirmedAlive(machine) {
+		t.Error("not alive though its next incarnation has been heard")
+	}
 }
 
 // TestRunningTaskShownInCallIsNotReleased guards against a lease that is presumed to have expired
--- a/internal/coordination/cluster/liveness_test.go
+++ b/internal/coordination/cluster/liveness_test.go
@@ -53,14 +53,19 @@
 	}
 }
 
-// TestMachineIsSchedulableOnlyWhileConfirmedAlive: a machine accepts tasks only if a recent
-// heartbeat of its agent has this leader's token and responses reach the agent.
+// TestMachineIsSchedulableOnlyWhileConfirmedAlive: a machine accepts tasks only if it is in a machine
+// record, a recent heartbeat of its agent has this leader's token and responses reach the agent.
 func TestMachineIsSchedulableOnlyWhileConfirmedAlive(t *testing.T) {
 	model := clustertest.New()
 	machine := model.AddMachine("i-1", "big", "a")
 	if !model.Schedulable(machine) {
 		t.Fatal("a confirmed machine accepts no tasks")
 	}
+	machine.Recorded = false
+	if model.Schedulable(machine) {
+		t.Error("a machine in no record accepts tasks, which a later leader would take to be gone")
+	}
+	machine.Recorded = true
 	machine.Agent.TokenConfirmed = false
 	if model.Schedulable(machine) {
 		t.Error("a machine whose agent has not shown the token accepts tasks")
