--- a/internal/coordination/agents/proof_test.go
+++ b/internal/coordination/agents/proof_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/gappond/gappond/internal/config"
 	"github.com/gappond/gappond/internal/coordination/agents"
 	"github.com/gappond/gappond/internal/protocol"
 )
@@ -30,3 +31,19 @@
 		t.Error("attempt released by an agent that follows another leader")
 	}
 }
+
+// TestReadableHeartbeatEndsSeriesOfUnreadableOnes guards against a machine that is deleted for two
+// unreadable heartbeats with readable ones in between.
+func TestReadableHeartbeatEndsSeriesOfUnreadableOnes(t *testing.T) {
+	l := newTestLeader()
+	machine := l.machine("i-1", "a")
+	job, running := l.runningAttempt(machine)
+	unreadable := protocol.TaskStatus{Task: "?", Attempt: 1, State: "dreaming"}
+	l.accept(t, heartbeat(machine, testTerm, unreadable))
+	l.accept(t, heartbeat(machine, testTerm, running))
+	l.state.Advance(2 * config.Seconds(l.state.Config.Cluster.Agents.LeaseS))
+	l.accept(t, heartbeat(machine, testTerm, unreadable))
+	if machine.Deleting || len(job.Attempts) != 1 {
+		t.Errorf("deleting %v, %d attempts, want the machine kept", machine.Deleting, len(job.Attempts))
+	}
+}
