A sound body is read the same in every spelling: unknown members no longer replace known ones

A count written as 16.0 or 1.6e1 was refused with 400. The same held for heartbeats and for the bodies of store and cloud.

Cause: encoding/json matches names of members regardless of case, and the last match counts. It decodes integers from plain digits only.

Errors are still those of encoding/json, byte for byte (TestHeartbeatErrorsNameWireTypes). Records are written as before, and those of earlier versions read as before. The writer of a record is found in any spelling, and one function does it instead of two.

--- a/internal/coordination/api/lookups.go
+++ b/internal/coordination/api/lookups.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/gappond/gappond/internal/coordination/kv"
@@ -62,7 +61,7 @@
 			return
 		}
 		var final storage.FinalRecord
-		if json.Unmarshal(entry.Value, &final) != nil || final.Phase == "" {
+		if protocol.Unmarshal(entry.Value, &final) != nil || final.Phase == "" {
 			l.replies.Unavailable(requestID, reasonMalformedRecord)
 			return
 		}
--- a/internal/coordination/commit/outcome.go
+++ b/internal/coordination/commit/outcome.go
@@ -71,7 +71,7 @@
 		}
 		switch result.Outcome {
 		case kv.Done:
-			if !result.Malformed && writtenBy(result.Entry.Value, tx.writer) {
+			if !result.Malformed && storage.Writer(result.Entry.Value) == tx.writer {
 				c.handleCommit(tx, result.Entry.Revision)
 				return
 			}
@@ -84,14 +84,6 @@
 	})
 }
 
-// writtenBy reports whether a record names this writer.
-func writtenBy(value json.RawMessage, writer string) bool {
-	var record struct {
-		Writer string `json:"w"`
-	}
-	return json.Unmarshal(value, &record) == nil && record.Writer == writer
-}
-
 // ObserveChange handles a change that the watch reports. handled is true if nobody else needs to
 // handle it: it confirms the transaction in flight, whose response may be lost, or it concerns a
 // machine record.
--- a/internal/coordination/commit/record_reader.go
+++ b/internal/coordination/commit/record_reader.go
@@ -1,11 +1,11 @@
 package commit
 
 import (
-	"encoding/json"
 	"strings"
 
 	"github.com/gappond/gappond/internal/coordination/cluster"
 	"github.com/gappond/gappond/internal/coordination/kv"
+	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
 )
 
@@ -67,7 +67,7 @@
 			return
 		}
 		var final storage.FinalRecord
-		if json.Unmarshal(result.Entry.Value, &final) == nil && final.Phase != "" {
+		if protocol.Unmarshal(result.Entry.Value, &final) == nil && final.Phase != "" {
 			rr.finish(job, final)
 		}
 	})
--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -133,7 +133,7 @@
 // ObserveLease processes the current record of the leader lease.
 func (e *Election) ObserveLease(value json.RawMessage, revision protocol.Revision) {
 	var lease storage.LeaderLease
-	if err := json.Unmarshal(value, &lease); err != nil {
+	if err := protocol.Unmarshal(value, &lease); err != nil {
 		e.log.Error("leader lease does not parse", "value", string(value), "error", err)
 	}
 	e.candidate.observe(lease.Node, revision)
--- a/internal/coordination/kv/kv.go
+++ b/internal/coordination/kv/kv.go
@@ -6,7 +6,6 @@
 package kv
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -119,7 +118,7 @@
 		switch result.Outcome {
 		case Done, ConditionFailed:
 			var response protocol.TransactionResponse
-			result.Malformed = json.Unmarshal(body, &response) != nil
+			result.Malformed = protocol.Unmarshal(body, &response) != nil
 			result.Revision, result.Failed = response.Revision, response.Failed
 		case Rejected:
 			result.Detail = string(body)
@@ -140,7 +139,7 @@
 	c.transport.CallStore(Call{Method: http.MethodGet, Path: protocol.KeyPath(key)}, func(status int, body []byte) {
 		result := GetResult{Outcome: outcomeOf(status)}
 		if result.Outcome == Done {
-			result.Malformed = json.Unmarshal(body, &result.Entry) != nil
+			result.Malformed = protocol.Unmarshal(body, &result.Entry) != nil
 		}
 		done(result)
 	})
@@ -158,7 +157,7 @@
 	c.transport.CallStore(Call{Method: http.MethodGet, Path: protocol.RangePath(prefix, after, limit)}, func(status int, body []byte) {
 		result := RangeResult{Outcome: outcomeOf(status)}
 		if result.Outcome == Done {
-			result.Malformed = json.Unmarshal(body, &result.Page) != nil
+			result.Malformed = protocol.Unmarshal(body, &result.Page) != nil
 		}
 		done(result)
 	})
@@ -178,7 +177,7 @@
 	c.transport.CallStore(call, func(status int, body []byte) {
 		result := WatchResult{Outcome: outcomeOf(status)}
 		if result.Outcome == Done {
-			result.Malformed = json.Unmarshal(body, &result.Changes) != nil
+			result.Malformed = protocol.Unmarshal(body, &result.Changes) != nil
 		}
 		done(result)
 	})
@@ -195,7 +194,7 @@
 	request := protocol.LeaseRequest{TTLMs: ttl.Milliseconds()}
 	c.transport.CallStore(Call{Method: http.MethodPost, Path: protocol.PathLeases, Body: request}, func(status int, body []byte) {
 		var response protocol.LeaseResponse
-		if json.Unmarshal(body, &response) != nil {
+		if protocol.Unmarshal(body, &response) != nil {
 			response.Lease = 0
 		}
 		done(LeaseResult{Outcome: outcomeOf(status), Lease: response.Lease})
--- a/internal/coordination/loader/failover.go
+++ b/internal/coordination/loader/failover.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 
 	"github.com/gappond/gappond/internal/protocol"
@@ -42,7 +41,7 @@
 	mirror.Each(storage.MachineRecordPrefix, func(entry protocol.Entry) {
 		var record storage.MachineRecord
 		// Empty machine records are deleted, so one without machines is malformed.
-		if json.Unmarshal(entry.Value, &record) != nil || len(record.Machines) == 0 {
+		if protocol.Unmarshal(entry.Value, &record) != nil || len(record.Machines) == 0 {
 			outcome = someUnreadable
 			ld.log.Error("machine record does not parse", "key", entry.Key)
 			return
@@ -97,7 +96,7 @@
 			return
 		}
 		var record storage.TaskRecord
-		if err := json.Unmarshal(entry.Value, &record); err != nil {
+		if err := protocol.Unmarshal(entry.Value, &record); err != nil {
 			ld.Quarantine(id, err)
 			return
 		}
--- a/internal/coordination/machine_types.go
+++ b/internal/coordination/machine_types.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
@@ -39,7 +38,7 @@
 	mt.nextRefreshAt = n.now.Add(tuning.CloudTimeout + time.Second)
 	n.request(ToCloud, "", http.MethodGet, protocol.PathMachineTypes, nil, tuning.CloudTimeout, func(status int, body []byte) {
 		var list protocol.MachineTypes
-		if status != http.StatusOK || json.Unmarshal(body, &list) != nil || len(list.Types) == 0 {
+		if status != http.StatusOK || protocol.Unmarshal(body, &list) != nil || len(list.Types) == 0 {
 			mt.nextRefreshAt = n.now.Add(time.Second)
 			return
 		}
--- a/internal/coordination/membership/relay.go
+++ b/internal/coordination/membership/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -64,7 +63,7 @@
 		return
 	}
 	var relayed storage.RelayedFrames
-	if err := json.Unmarshal(event.Value, &relayed); err != nil {
+	if err := protocol.Unmarshal(event.Value, &relayed); err != nil {
 		p.log.Error("relayed message does not parse", "peer", from, "error", err)
 		return
 	}
--- a/internal/coordination/requests.go
+++ b/internal/coordination/requests.go
@@ -1,9 +1,9 @@
 package coordination
 
 import (
-	"encoding/json"
 	"time"
 
+	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
 )
 
@@ -35,5 +35,5 @@
 // parse parses JSON and reports whether it succeeded.
 func parse[T any](body []byte) (T, bool) {
 	var v T
-	return v, json.Unmarshal(body, &v) == nil
+	return v, protocol.Unmarshal(body, &v) == nil
 }
--- a/internal/protocol/agent.go
+++ b/internal/protocol/agent.go
@@ -1,7 +1,6 @@
 package protocol
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -83,7 +82,7 @@
 // ParseHeartbeat decodes and validates a heartbeat.
 func ParseHeartbeat(body []byte) (*Heartbeat, error) {
 	var heartbeat Heartbeat
-	if err := json.Unmarshal(body, &heartbeat); err != nil {
+	if err := Unmarshal(body, &heartbeat); err != nil {
 		return nil, fmt.Errorf("not valid JSON for a report: %w", withWireTypeNames(err))
 	}
 	if heartbeat.Machine == "" || len(heartbeat.Machine) > maxNameBytes || strings.ContainsAny(string(heartbeat.Machine), " /") || heartbeat.Incarnation == 0 {
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -152,7 +152,7 @@
 		return nil, errors.New("not a JSON object")
 	}
 	var wire jobWire
-	if err := json.Unmarshal(body, &wire); err != nil {
+	if err := Unmarshal(body, &wire); err != nil {
 		return nil, fmt.Errorf("not valid JSON for a job: %w", err)
 	}
 	checker := &jobChecker{}
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -161,7 +161,7 @@
 // UnmarshalJSON decodes tasks in the array form, or in the object form that version 0.1 wrote.
 func (list *Tasks) UnmarshalJSON(value []byte) error {
 	var arrays [][]json.RawMessage
-	if err := json.Unmarshal(value, &arrays); err != nil {
+	if err := protocol.Unmarshal(value, &arrays); err != nil {
 		return list.unmarshalObjects(value)
 	}
 	*list = make(Tasks, len(arrays))
@@ -172,10 +172,12 @@
 		t := &(*list)[i]
 		t.Done = len(fields) == 3
 		var errs [4]error
-		t.Index, errs[0] = strconv.Atoi(string(fields[0]))
+		var index uint64
+		index, errs[0] = parseNumber[uint64](fields[0])
+		t.Index = int(index)
 		t.Attempt, errs[1] = parseNumber[protocol.AttemptNumber](fields[1])
 		if len(fields) == 4 {
-			errs[2] = json.Unmarshal(fields[2], &t.Machine)
+			errs[2] = protocol.Unmarshal(fields[2], &t.Machine)
 			t.Incarnation, errs[3] = parseNumber[protocol.Incarnation](fields[3])
 		}
 		if err := errors.Join(errs[:]...); err != nil {
@@ -188,6 +190,9 @@
 // parseNumber decodes a number in the array form of a task.
 func parseNumber[N ~uint64](field json.RawMessage) (N, error) {
 	n, err := strconv.ParseUint(string(field), 10, 64)
+	if err != nil {
+		err = protocol.Unmarshal(field, &n) // it may have another spelling
+	}
 	return N(n), err
 }
 
@@ -199,7 +204,7 @@
 		Incarnation protocol.Incarnation   `json:"s"`
 		Done        bool                   `json:"d"`
 	}
-	err := json.Unmarshal(value, &objects)
+	err := protocol.Unmarshal(value, &objects)
 	*list = nil
 	for _, t := range objects {
 		*list = append(*list, Task(t))
@@ -246,15 +251,21 @@
 	return (j.Spec.Tasks + j.TasksPerBaseRecord - 1) / j.TasksPerBaseRecord
 }
 
-// Writer returns the writer's name with which a record begins, without decoding the rest. It
-// returns "" if the record begins with anything else.
+// Writer returns the writer's name in a record, or "" if it has none. It decodes the rest of the record
+// only if the store has returned the record in another spelling than this program's.
 func Writer(value json.RawMessage) string {
 	rest, ok := bytes.CutPrefix(value, []byte(`{"w":"`))
 	name, _, closed := bytes.Cut(rest, []byte(`"`))
-	if !ok || !closed {
+	if ok && closed {
+		return string(name)
+	}
+	var record struct {
+		Writer string `json:"w"`
+	}
+	if protocol.Unmarshal(value, &record) != nil {
 		return ""
 	}
-	return string(name)
+	return record.Writer
 }
 
 // TaskRecord holds further tasks of a job.
@@ -342,7 +353,7 @@
 // DecodeJob decodes and validates a job's main record.
 func DecodeJob(value json.RawMessage) (*Job, error) {
 	var j Job
-	if err := json.Unmarshal(value, &j); err != nil {
+	if err := protocol.Unmarshal(value, &j); err != nil {
 		return nil, err
 	}
 	if j.Version > maxJobRecordVersion {
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/gappond/gappond/internal/protocol"
+	"github.com/google/go-cmp/cmp"
 )
 
 // TestJobRecordFitsValueLimit: a main record keeps within the store's value limit even with the
@@ -172,6 +173,25 @@
 	}
 }
 
+// TestRecordInAnotherSpellingIsRead guards against a record that is lost because the store returns it
+// with other white space, another order of members or other spellings of numbers.
+func TestRecordInAnotherSpellingIsRead(t *testing.T) {
+	want := Job{Writer: "w-1", Spec: &protocol.Job{ID: "run-1", Tasks: 3}, Attempt: 7, TasksPerBaseRecord: 9,
+		Tasks: Tasks{{Index: 2, Attempt: 7, Machine: "i-1", Incarnation: 4}, {Index: 1, Attempt: 1, Done: true}}}
+	respelled := []byte(`{ "chunk":9.0, "W":"w-2", "tasks" : [ [2.0, 70e-1, "i\u002d1", 4], [1,1e0,1] ],
+		"try": 7, "Try": 8, "spec": {"pieces": 3, "uid": "run-1", "UID": "run-2"}, "w" : "w-1"}`)
+	got, err := DecodeJob(respelled)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(&want, got); diff != "" {
+		t.Error(diff)
+	}
+	if Writer(respelled) != "w-1" {
+		t.Errorf("the writer is %q", Writer(respelled))
+	}
+}
+
 // TestRecordsOfEarlierVersions: records that versions 0.2 and 0.3 wrote are decoded completely and
 // encoded again to the same bytes. So while both versions run, records contain nothing that the
 // earlier one does not know.
