Clients that complete no request keep nobody out

Callers saw that a controller answered nobody for up to 5 s at a time while clients held its connections with requests that they did not complete. At the port for controllers 300 silent connections were open at once, beyond any limit, each with a buffer for the frame that it announced.

Cause: the listener waited for a free connection before it accepted another one, and an incomplete request keeps its connection until the read time-out. The port for controllers had no limit. Paths other than jobs and heartbeats kept their connections open beyond the users' share.

Change: a new connection is accepted, and if all are taken, the one whose request has been incomplete for the longest time (0.25 s at least) is closed for it. Connections with a complete request, idle ones and those with bytes that this process has not read yet are left alone, so a slow controller does not close the connections that wait for it. Controllers that have not told a name get 32 connections, each peer four links. All paths keep within the shares. This replaces the limiting listener of the library, which cannot choose, so golang.org/x/net is no longer needed directly.

TestIncompleteRequestsBlockNobody and TestSilentConnectionsToPeerPortBlockNoPeer failed before and pass now, as does the package twice with the race detector. TestMalformedRequestsEndNothing (nine kinds of bytes at both ports) and TestOddBodiesEndNothing (4,000 bodies with odd members to a leader) passed on the code before as well: no body or bytes ended a controller.

--- a/internal/transport/connection_limits.go
+++ b/internal/transport/connection_limits.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/gappond/gappond/internal/tuning"
 )
@@ -24,35 +23,54 @@
 // connection is closed after the response, so that every agent finds a socket for the moment of its
 // heartbeat. The limit for users is lower, so that they never take the agents' sockets.
 type connectionLimits struct {
-	open                                    atomic.Int64
-	maxOpen                                 int // 0: no limit, and no connection is closed early
-	userKeepAliveLimit, agentKeepAliveLimit int64
+	admission                               *admission
+	userKeepAliveLimit, agentKeepAliveLimit int
 }
 
 // newConnectionLimits derives the limits from the number of sockets that the process may open; 0
-// means no limit.
+// means that there is no limit, and no connection is closed early.
 func newConnectionLimits(socketLimit int) *connectionLimits {
-	share := func(fraction float64) int { return max(tuning.MinConnections, int(float64(socketLimit)*fraction)) }
 	if socketLimit <= 0 {
-		return &connectionLimits{}
+		return &connectionLimits{admission: newAdmission(0)}
+	}
+	share := func(fraction float64) int { return max(tuning.MinConnections, int(float64(socketLimit)*fraction)) }
+	return &connectionLimits{
+		admission:          newAdmission(share(tuning.ServerConnectionShare)),
+		userKeepAliveLimit: share(tuning.UserKeepAliveShare), agentKeepAliveLimit: share(tuning.AgentKeepAliveShare),
 	}
-	return &connectionLimits{maxOpen: share(tuning.ServerConnectionShare), userKeepAliveLimit: int64(share(tuning.UserKeepAliveShare)), agentKeepAliveLimit: int64(share(tuning.AgentKeepAliveShare))}
 }
 
-// track counts the open connections. The HTTP server calls it when a connection changes state.
-func (c *connectionLimits) track(_ net.Conn, state http.ConnState) {
+// track follows the state of a connection. The HTTP server calls it when the state changes.
+func (c *connectionLimits) track(conn net.Conn, state http.ConnState) {
 	switch state {
-	case http.StateNew:
-		c.open.Add(1)
+	case http.StateActive:
+		c.admission.markPending(conn)
+	case http.StateIdle:
+		c.admission.markComplete(conn)
 	case http.StateClosed, http.StateHijacked:
-		c.open.Add(-1)
+		c.admission.release(conn)
 	}
 }
 
 // closeIfAbove makes the server close the connection after this response if more than limit
 // connections are open.
-func (c *connectionLimits) closeIfAbove(limit int64, w http.ResponseWriter) {
-	if c.maxOpen > 0 && c.open.Load() > limit {
+func (c *connectionLimits) closeIfAbove(limit int, w http.ResponseWriter) {
+	if c.admission.limit > 0 && c.admission.count() > limit {
 		w.Header().Set("Connection", "close")
 	}
 }
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// withConnection adds a connection to the context of its requests.
+func withConnection(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, conn)
+}
+
+// requestComplete notes that a request has been read completely.
+func (c *connectionLimits) requestComplete(r *http.Request) {
+	if conn, known := r.Context().Value(connectionKey{}).(net.Conn); known {
+		c.admission.markComplete(conn)
+	}
+}
--- a/internal/transport/event_loop.go
+++ b/internal/transport/event_loop.go
@@ -48,7 +48,7 @@
 		}
 		timer.Reset(l.node.Due())
 		l.ready.Store(l.node.Ready())
-		l.metrics.update(l.node, int(l.connections.open.Load()), l.queues.depth())
+		l.metrics.update(l.node, l.connections.admission.count(), l.queues.depth())
 	}
 }
 
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -23,12 +23,18 @@
 	log           *slog.Logger
 	events        chan<- coordination.Event
 	outgoing      map[protocol.NodeName]*outgoingLink
-	acceptedLinks atomic.Uint64 // count of links accepted so far; also the number of the latest
+	unidentified  *admission                       // connections on which no name has arrived
+	identified    map[protocol.NodeName]*admission // the others, by peer
+	acceptedLinks atomic.Uint64                    // count of links accepted so far; also the number of the latest
 }
 
 func newPeerLinks(cfg *config.Config, log *slog.Logger, events chan<- coordination.Event) *peerLinks {
-	p := &peerLinks{address: cfg.PeerListen, log: log, events: events, outgoing: map[protocol.NodeName]*outgoingLink{}}
+	p := &peerLinks{
+		address: cfg.PeerListen, log: log, events: events, outgoing: map[protocol.NodeName]*outgoingLink{},
+		unidentified: newAdmission(tuning.MaxUnidentifiedLinks), identified: map[protocol.NodeName]*admission{},
+	}
 	for _, peer := range cfg.Peers {
+		p.identified[peer.Name] = newAdmission(tuning.MaxLinksPerPeer)
 		p.outgoing[peer.Name] = &outgoingLink{
 			self: cfg.Name, peer: peer.Name, address: peer.Addr, events: events,
 			queue:         make(chan protocol.PeerMessage, max(tuning.MinPeerQueueLength, cfg.Cluster.Process.FDLimit)),
@@ -40,11 +46,17 @@
 
 // start listens for peers and dials every peer, in goroutines that end with the context.
 func (p *peerLinks) start(ctx context.Context, running *sync.WaitGroup) error {
-	listener, err := listen(ctx, p.address)
+	tcp, err := listen(ctx, p.address)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
-	context.AfterFunc(ctx, func() { listener.Close() })
+	listener := newAdmittingListener(tcp, p.unidentified)
+	context.AfterFunc(ctx, func() {
+		listener.Close()
+		for _, links := range p.identified {
+			links.stop()
+		}
+	})
 	running.Go(func() { p.accept(ctx, listener, running) })
 	for _, l := range p.outgoing {
 		running.Go(func() { l.run(ctx) })
@@ -76,6 +88,8 @@
 // connection ends.
 func (p *peerLinks) receive(ctx context.Context, conn net.Conn) {
 	defer closeOnDone(ctx, conn)()
+	links := p.unidentified
+	defer func() { links.release(conn) }()
 	r := bufio.NewReaderSize(conn, tuning.PeerBatchBytes)
 	name, linkNumber := protocol.NodeName(""), p.acceptedLinks.Add(1)
 	for {
@@ -92,10 +106,16 @@
 		switch {
 		case isHello && name == "" && p.outgoing[hello.Node] != nil:
 			name = hello.Node
+			links.release(conn)
+			links = p.identified[name]
+			if !links.admit(conn) {
+				return
+			}
 		case isHello || name == "":
 			p.log.Error("peer link refused", "peer", hello.Node, "remote", conn.RemoteAddr().String())
 			return
 		}
+		links.markActive(conn)
 		enqueue(ctx, p.events, coordination.PeerReceive{Peer: name, Link: linkNumber, Message: m})
 	}
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -14,7 +14,6 @@
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
 	"github.com/gappond/gappond/internal/tuning"
-	"golang.org/x/net/netutil"
 )
 
 // maxHeaderBytes limits the size of one request's headers.
@@ -31,16 +30,13 @@
 	ready       func() bool
 }
 
-// listen opens the server's listener, which accepts no more than maxOpen connections at a time.
+// listen opens the server's listener, which admits a limited number of connections at a time.
 func (s *httpServer) listen(ctx context.Context) (net.Listener, error) {
 	listener, err := listen(ctx, s.address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for users and agents: %w", err)
 	}
-	if s.connections.maxOpen > 0 {
-		listener = netutil.LimitListener(listener, s.connections.maxOpen)
-	}
-	return listener, nil
+	return newAdmittingListener(listener, s.connections.admission), nil
 }
 
 // serve handles requests until the context ends or the listener fails. Then it closes the listener
@@ -53,6 +49,7 @@
 		WriteTimeout:      tuning.RequestReadTimeout + tuning.ReplyTimeout,
 		IdleTimeout:       tuning.ServerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withConnection,
 		ConnState:         s.connections.track,
 	}
 	defer srv.Close()
@@ -72,12 +69,22 @@
 	mux.HandleFunc("POST "+protocol.PathHeartbeat, s.handleHeartbeat)
 	mux.HandleFunc("GET "+protocol.PathReady, s.handleReady)
 	mux.Handle("GET "+protocol.PathMetrics, s.metrics.handler())
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		limit := s.connections.userKeepAliveLimit
+		if r.URL.Path == protocol.PathHeartbeat {
+			limit = s.connections.agentKeepAliveLimit
+		}
+		s.connections.closeIfAbove(limit, w)
+		if r.Body == http.NoBody {
+			s.connections.requestComplete(r)
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // readBody returns a request's body. If the body cannot be read, it writes an error response and
 // returns false.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+func (s *httpServer) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	body, err := readAll(http.MaxBytesReader(w, r.Body, protocol.MaxBodyBytes), r.ContentLength, tuning.MaxBodyPreallocationBytes)
 	if err != nil {
 		var tooLarge *http.MaxBytesError
@@ -88,6 +95,7 @@
 		}
 		return nil, false
 	}
+	s.connections.requestComplete(r)
 	return body, true
 }
 
@@ -148,12 +156,11 @@
 }
 
 func (s *httpServer) handleSubmit(w http.ResponseWriter, r *http.Request) {
-	s.connections.closeIfAbove(s.connections.userKeepAliveLimit, w)
 	if len(s.queues.users) == cap(s.queues.users) {
 		writeReply(w, s.shed()) // before any resources are spent on the body
 		return
 	}
-	body, ok := readBody(w, r)
+	body, ok := s.readBody(w, r)
 	if !ok {
 		return
 	}
@@ -170,7 +177,6 @@
 // handleJobRequest passes a request about the job that the path names to the event loop, and writes
 // the reply.
 func (s *httpServer) handleJobRequest(w http.ResponseWriter, r *http.Request, newEvent func(id uint64, jobID protocol.JobID) coordination.Event) {
-	s.connections.closeIfAbove(s.connections.userKeepAliveLimit, w)
 	jobID := protocol.JobID(r.PathValue("id"))
 	if !protocol.ValidJobID(jobID) {
 		writeError(w, http.StatusNotFound, "no such job")
@@ -194,8 +200,7 @@
 }
 
 func (s *httpServer) handleHeartbeat(w http.ResponseWriter, r *http.Request) {
-	s.connections.closeIfAbove(s.connections.agentKeepAliveLimit, w)
-	body, ok := readBody(w, r)
+	body, ok := s.readBody(w, r)
 	if !ok {
 		return
 	}
--- a/internal/tuning/transport.go
+++ b/internal/tuning/transport.go
@@ -40,6 +40,9 @@
 	// RequestReadTimeout bounds the reading of one request, so that slow or half-open
 	// clients never hold a socket for long.
 	RequestReadTimeout = 5 * time.Second
+	// MinPendingTime is how long a connection without a complete request is left alone, even if there
+	// are too many connections: users and agents send a request at once.
+	MinPendingTime = 250 * time.Millisecond
 	// ReplyTimeout bounds the wait for the event loop's reply. Users give up after 5 s.
 	ReplyTimeout = 4 * time.Second
 	// MaxResponseBytes bounds a response from an external system. A watch's response has no limit
@@ -83,6 +86,11 @@
 	PeerRedialDelay = 500 * time.Millisecond
 	// PeerWriteTimeout bounds the writing of one batch of frames.
 	PeerWriteTimeout = 3 * time.Second
+	// MaxUnidentifiedLinks bounds the connections from controllers that have not told their name.
+	MaxUnidentifiedLinks = 32
+	// MaxLinksPerPeer bounds the links from one peer. The peer uses one; others have broken and
+	// are about to be noticed as silent.
+	MaxLinksPerPeer = 4
 	// PeerReadTimeout is how long a link may be silent: five heartbeats.
 	PeerReadTimeout = 5 * time.Second
 	// MaxUrgentEventsPerBatch bounds the events that one batch of the event loop takes from
