--- a/internal/simulation/agent.go
+++ b/internal/simulation/agent.go
@@ -31,10 +31,12 @@
 	heldPackets        []func() // handlers of what arrives while the machine hangs
 	preemptionNoticeS  *float64
 	failsTasks         bool
-	failedTasks        int       // tasks that have failed because of failsTasks
-	opensNoConnections bool      // the agent's heartbeats reach no controller
-	losesResponses     bool      // the agent's heartbeats arrive, but no response to them does
-	tokenReportedAt    time.Time // when a higher token last caused an early heartbeat
+	failedTasks        int           // tasks that have failed because of failsTasks
+	opensNoConnections bool          // the agent's heartbeats reach no controller
+	losesResponses     bool          // the agent's heartbeats arrive, but no response to them does
+	callDelay          time.Duration // how late calls reach the agent
+	delayedCalls       int           // calls that were held up because of callDelay
+	tokenReportedAt    time.Time     // when a higher token last caused an early heartbeat
 }
 
 func newAgent(w *World, h *host) *agent {
--- a/internal/simulation/agent_commands.go
+++ b/internal/simulation/agent_commands.go
@@ -24,13 +24,23 @@
 	return true
 }
 
-// serve handles probes, and commands that a controller sends outside a heartbeat response.
+// serve handles probes, and commands that a controller sends outside a heartbeat response, once they
+// have reached the agent.
 func (a *agent) serve(method, path string, body []byte, respond func(int, []byte)) {
+	if a.callDelay > 0 {
+		a.delayedCalls++
+		a.w.after(a.callDelay, func() { a.handleCall(method, path, body, respond) })
+		return
+	}
+	a.handleCall(method, path, body, respond)
+}
+
+func (a *agent) handleCall(method, path string, body []byte, respond func(int, []byte)) {
 	if a.dead {
 		return
 	}
 	if a.hung {
-		a.heldPackets = append(a.heldPackets, func() { a.serve(method, path, body, respond) })
+		a.heldPackets = append(a.heldPackets, func() { a.handleCall(method, path, body, respond) })
 		return
 	}
 	if path == protocol.PathInspect {
