--- a/internal/simulation/cloud.go
+++ b/internal/simulation/cloud.go
@@ -25,6 +25,14 @@
 	requests       int
 	snapshots      []snapshot
 	fastBoot       bool // machines boot within two seconds
+	late           lateChanges
+}
+
+// lateChanges controls how creations and deletions of machines are carried out.
+type lateChanges struct {
+	delay      time.Duration // how late; 0: at once
+	unanswered bool          // without a response
+	twice      bool          // once more after the same delay
 }
 
 // host is a machine in the cloud.
@@ -126,9 +134,24 @@
 	case u.Path == protocol.PathMachines && method == http.MethodGet:
 		c.list(u.Query(), respond)
 	case u.Path == protocol.PathMachines:
-		c.createMachines(body, respond)
+		c.change(func(respond responseFunc) { c.createMachines(body, respond) }, respond)
 	default:
-		c.deleteMachines(body, respond)
+		c.change(func(respond responseFunc) { c.deleteMachines(body, respond) }, respond)
+	}
+}
+
+// change carries out a creation or deletion of machines, now or late.
+func (c *cloudProvider) change(carryOut func(respond responseFunc), respond responseFunc) {
+	if c.late.unanswered {
+		respond = func(int, []byte) {}
+	}
+	if c.late.delay == 0 {
+		carryOut(respond)
+		return
+	}
+	c.w.after(c.late.delay, func() { carryOut(respond) })
+	if c.late.twice {
+		c.w.after(2*c.late.delay, func() { carryOut(func(int, []byte) {}) })
 	}
 }
 
