The store's reads share their decoding, and random runs with one more fault their set-up

Reading a key, a page and a watch decoded their responses by three copies of the same lines, and two tests of random runs built the same deployments and kinds of faults.

--- a/internal/coordination/kv/kv.go
+++ b/internal/coordination/kv/kv.go
@@ -136,12 +136,20 @@
 
 // Get reads one key.
 func (c Client) Get(key string, done func(GetResult)) {
-	c.transport.CallStore(Call{Method: http.MethodGet, Path: protocol.KeyPath(key)}, func(status int, body []byte) {
-		result := GetResult{Outcome: outcomeOf(status)}
-		if result.Outcome == Done {
-			result.Malformed = protocol.Unmarshal(body, &result.Entry) != nil
+	read(c, Call{Method: http.MethodGet, Path: protocol.KeyPath(key)}, func(entry protocol.Entry, outcome Outcome, malformed bool) {
+		done(GetResult{Outcome: outcome, Malformed: malformed, Entry: entry})
+	})
+}
+
+// read makes a call whose response, if it was executed, has a value as its body.
+func read[T any](c Client, call Call, done func(value T, outcome Outcome, malformed bool)) {
+	c.transport.CallStore(call, func(status int, body []byte) {
+		var value T
+		outcome, malformed := outcomeOf(status), false
+		if outcome == Done {
+			malformed = protocol.Unmarshal(body, &value) != nil
 		}
-		done(result)
+		done(value, outcome, malformed)
 	})
 }
 
@@ -154,12 +162,8 @@
 
 // Range reads a page of up to limit keys that have a prefix and sort after a given key.
 func (c Client) Range(prefix, after string, limit int, done func(RangeResult)) {
-	c.transport.CallStore(Call{Method: http.MethodGet, Path: protocol.RangePath(prefix, after, limit)}, func(status int, body []byte) {
-		result := RangeResult{Outcome: outcomeOf(status)}
-		if result.Outcome == Done {
-			result.Malformed = protocol.Unmarshal(body, &result.Page) != nil
-		}
-		done(result)
+	read(c, Call{Method: http.MethodGet, Path: protocol.RangePath(prefix, after, limit)}, func(page protocol.Entries, outcome Outcome, malformed bool) {
+		done(RangeResult{Outcome: outcome, Malformed: malformed, Page: page})
 	})
 }
 
@@ -174,12 +178,8 @@
 // prefix.
 func (c Client) Watch(prefix string, after protocol.Revision, block time.Duration, done func(WatchResult)) {
 	call := Call{Connection: Watching, Method: http.MethodGet, Path: protocol.WatchPath(prefix, after, block.Milliseconds())}
-	c.transport.CallStore(call, func(status int, body []byte) {
-		result := WatchResult{Outcome: outcomeOf(status)}
-		if result.Outcome == Done {
-			result.Malformed = protocol.Unmarshal(body, &result.Changes) != nil
-		}
-		done(result)
+	read(c, call, func(changes protocol.WatchResponse, outcome Outcome, malformed bool) {
+		done(WatchResult{Outcome: outcome, Malformed: malformed, Changes: changes})
 	})
 }
 
--- a/internal/simulation/agent_lease_test.go
+++ b/internal/simulation/agent_lease_test.go
@@ -1,8 +1,6 @@
 package simulation
 
 import (
-	"fmt"
-	"slices"
 	"testing"
 	"time"
 )
@@ -43,16 +41,5 @@
 // faults, among which are sessions that the leader learns of from calls only.
 func TestRulesHoldDespiteSessionsLearnedFromCalls(t *testing.T) {
 	t.Parallel()
-	kinds := slices.Clone(faultKinds)
-	for range 4 { // in most runs, one is among the first faults
-		kinds = append(kinds, lateSessionKind)
-	}
-	for seed := range seedCount(24, 6) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			shape := []Shape{SmallShape(), tinyCPUShape(), smallDeployment(uint64(seed))}[seed%3]
-			shape.Recovery = seed%4 > 1
-			checkRandomRun(t, uint64(90_000+seed), shape, kinds)
-		})
-	}
+	checkRandomRunsWith(t, 90_000, lateSessionKind)
 }
--- a/internal/simulation/command_copies_test.go
+++ b/internal/simulation/command_copies_test.go
@@ -123,16 +123,5 @@
 // of few machines.
 func TestRulesHoldDespiteLateCommandCopies(t *testing.T) {
 	t.Parallel()
-	kinds := slices.Clone(faultKinds)
-	for range 4 { // in most runs, copies are among the first faults
-		kinds = append(kinds, commandCopiesKind)
-	}
-	for seed := range seedCount(24, 6) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			shape := []Shape{SmallShape(), tinyCPUShape(), smallDeployment(uint64(seed))}[seed%3]
-			shape.Recovery = seed%4 > 1
-			checkRandomRun(t, uint64(80_000+seed), shape, kinds)
-		})
-	}
+	checkRandomRunsWith(t, 80_000, commandCopiesKind)
 }
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,6 +66,20 @@
 	}
 }
 
+// checkRandomRunsWith performs random runs with faults of all kinds and one more, which is among the
+// first faults of most runs. Every third run has a deployment of few machines.
+func checkRandomRunsWith(t *testing.T, firstSeed uint64, kind faultKind) {
+	kinds := append(slices.Clone(faultKinds), kind, kind, kind, kind)
+	for seed := range seedCount(24, 6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			shape := []Shape{SmallShape(), tinyCPUShape(), smallDeployment(uint64(seed))}[seed%3]
+			shape.Recovery = seed%4 > 1
+			checkRandomRun(t, firstSeed+uint64(seed), shape, kinds)
+		})
+	}
+}
+
 // checkRandomRun performs a random run with faults of the given kinds and reports every broken rule,
 // and the faults of the run.
 func checkRandomRun(t *testing.T, seed uint64, shape Shape, kinds []faultKind) {
