Sound requests in other forms of HTTP are served: a test, passing

Chunks of seven bytes with extensions, other cases and orders of the head, a query or an address in the path, HTTP 1.0, escapes in the path, and a head that is sent half a second before the body, with and without waiting for leave. The clients that complete no request now come from one address and from two hundred others.

--- a/internal/transport/slow_requests_test.go
+++ b/internal/transport/slow_requests_test.go
@@ -91,11 +91,12 @@
 	return string(response), err
 }
 
-// hold opens connections one after the other, until the context ends, and leaves a request on each
+// hold opens connections from an address, one after the other, until the context ends, and leaves a request on each
 // incomplete until the controller closes it.
-func hold(ctx context.Context, t *testing.T, address, sent string, bytewise bool) {
+func hold(ctx context.Context, t *testing.T, from net.IP, address, sent string, bytewise bool) {
+	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: from}}
 	for ctx.Err() == nil {
-		conn, err := net.DialTimeout("tcp", address, time.Second)
+		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
 			sleep(ctx, 100*time.Millisecond)
 			continue
@@ -149,7 +150,11 @@
 	var running sync.WaitGroup
 	for i := range clients {
 		request := incompleteRequests[i%len(incompleteRequests)]
-		running.Go(func() { hold(ctx, t, cfg.Listen, request.sent, request.bytewise) })
+		from := net.IPv4(127, 0, 0, 1) // every second client, and the others from one address each
+		if i%2 == 1 {
+			from = net.IPv4(127, 0, byte(1+i/200), byte(1+i%200))
+		}
+		running.Go(func() { hold(ctx, t, from, cfg.Listen, request.sent, request.bytewise) })
 	}
 	sleep(ctx, time.Second)
 	sequence := 1
@@ -294,3 +299,45 @@
 	}
 	eventually(t, "the controller still leads", acceptsHeartbeat(t, cfg, heartbeatBody("i-000001", "t", 5000)))
 }
+
+// TestSoundRequestsInOtherForms guards against a sound request that is refused because of the form in
+// which HTTP carries it.
+func TestSoundRequestsInOtherForms(t *testing.T) {
+	cfg, _ := startController(t, true, 0)
+	eventually(t, "the controller is ready", isReady(t, cfg))
+	body := jobBody("run-000001", "vision", 1)
+	chunked := "POST /v2/runs HTTP/1.1\r\nhost: x\r\ntransfer-encoding: CHUNKED\r\nConnection: close\r\n\r\n"
+	for i := 0; i < len(body); i += 7 {
+		chunk := body[i:min(i+7, len(body))]
+		chunked += fmt.Sprintf("%x;extension=1\r\n%s\r\n", len(chunk), chunk)
+	}
+	length := fmt.Sprintf("Content-Length: %d\r\nConnection: close\r\n\r\n", len(body))
+	for _, request := range []struct{ name, sent, want string }{
+		{"chunks", chunked + "0\r\nTrailer: x\r\n\r\n", "201"},
+		{"a head in pieces of another order and case", "POST /v2/runs HTTP/1.1\r\nX-Unknown: a, b\r\ncontent-type: text/plain\r\nHOST: x\r\n" + length + body, "200"},
+		{"a query in the path", "POST /v2/runs?x=1 HTTP/1.1\r\nHost: x\r\n" + length + body, "200"},
+		{"the address in the path", "POST http://any:1/v2/runs HTTP/1.1\r\nHost: x\r\n" + length + body, "200"},
+		{"an earlier version of HTTP", "POST /v2/runs HTTP/1.0\r\n" + length + body, "200"},
+		{"escapes in the path", "GET /v2/runs/%72un%2D000001 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", "200"},
+	} {
+		response, err := exchange(cfg.Listen, request.sent, maxSenderTime)
+		if _, status, _ := strings.Cut(response, " "); err != nil || !strings.HasPrefix(status, request.want) {
+			t.Errorf("%s: %v, response %.100q, want status %s", request.name, err, response, request.want)
+		}
+	}
+	for _, half := range []string{"Expect: 100-continue\r\n", ""} {
+		conn, err := net.Dial("tcp", cfg.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(conn, "POST /v2/runs HTTP/1.1\r\nHost: x\r\n"+half+length)
+		time.Sleep(tuning.RequestReadTimeout / 10)
+		io.WriteString(conn, body)
+		conn.SetReadDeadline(time.Now().Add(maxSenderTime))
+		response, err := io.ReadAll(conn)
+		if err != nil || !strings.Contains(string(response), "HTTP/1.1 200") {
+			t.Errorf("head first, %q: %v, response %.100q", half, err, response)
+		}
+		conn.Close()
+	}
+}
