Malformed heartbeats and unnamed links do not flood the log

Callers could have a controller write a line for each malformed heartbeat, and for each connection to the port for controllers that told no name. A log that is not read as fast then holds up the requests, and the event loop too once it logs.

Cause: both were logged without a limit. Now the first 20 of each are, and then one a second. TestMalformedHeartbeatsDoNotFloodTheLog counted 1,000 lines for 1,000 malformed heartbeats before.

--- a/internal/transport/controller.go
+++ b/internal/transport/controller.go
@@ -38,7 +38,7 @@
 		peers:   newPeerLinks(cfg, log, queues.responses),
 	}
 	c.loop = &eventLoop{node: node, queues: queues, pending: pending, clients: c.clients, peers: c.peers, connections: connections, metrics: metrics}
-	c.server = &httpServer{address: cfg.Listen, log: log, queues: queues, pending: pending, connections: connections, metrics: metrics, ready: c.loop.ready.Load}
+	c.server = &httpServer{address: cfg.Listen, log: log, queues: queues, pending: pending, connections: connections, metrics: metrics, ready: c.loop.ready.Load, refusals: limitedLog()}
 	return c
 }
 
--- a/internal/transport/overload_test.go
+++ b/internal/transport/overload_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -207,3 +208,21 @@
 		t.Errorf("batch of %d events, want the response and six requests", len(batch))
 	}
 }
+
+// TestMalformedHeartbeatsDoNotFloodTheLog guards against senders that fill the log, and block the
+// controller when nobody reads it as fast.
+func TestMalformedHeartbeatsDoNotFloodTheLog(t *testing.T) {
+	c := newStoppedController()
+	var log bytes.Buffer
+	c.server.log = slog.New(slog.NewTextHandler(&log, nil))
+	for range 1000 {
+		response := httptest.NewRecorder()
+		c.server.handler().ServeHTTP(response, httptest.NewRequest("POST", protocol.PathHeartbeat, strings.NewReader("{")))
+		if response.Code != http.StatusBadRequest {
+			t.Fatalf("status %d, want 400", response.Code)
+		}
+	}
+	if lines := strings.Count(log.String(), "heartbeat refused"); lines == 0 || lines > 2*tuning.UnlimitedRefusals {
+		t.Errorf("%d lines for 1,000 malformed heartbeats", lines)
+	}
+}
--- a/internal/transport/peers.go
+++ b/internal/transport/peers.go
@@ -14,6 +14,7 @@
 	"github.com/gappond/gappond/internal/coordination"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
+	"golang.org/x/time/rate"
 )
 
 // peerLinks are the links between this controller and its peers. Every node dials every peer. It
@@ -24,6 +25,7 @@
 	events        chan<- coordination.Event
 	outgoing      map[protocol.NodeName]*outgoingLink
 	unidentified  *admission                       // connections on which no name has arrived
+	refusals      *rate.Sometimes                  // limits the log of links on which no name has arrived
 	identified    map[protocol.NodeName]*admission // the others, by peer
 	acceptedLinks atomic.Uint64                    // count of links accepted so far; also the number of the latest
 }
@@ -31,7 +33,7 @@
 func newPeerLinks(cfg *config.Config, log *slog.Logger, events chan<- coordination.Event) *peerLinks {
 	p := &peerLinks{
 		address: cfg.PeerListen, log: log, events: events, outgoing: map[protocol.NodeName]*outgoingLink{},
-		unidentified: newAdmission(tuning.MaxUnidentifiedLinks), identified: map[protocol.NodeName]*admission{},
+		unidentified: newAdmission(tuning.MaxUnidentifiedLinks), refusals: limitedLog(), identified: map[protocol.NodeName]*admission{},
 	}
 	for _, peer := range cfg.Peers {
 		p.identified[peer.Name] = newAdmission(tuning.MaxLinksPerPeer)
@@ -99,7 +101,7 @@
 			return
 		}
 		if err != nil {
-			p.log.Info("peer link ended", "peer", name, "remote", conn.RemoteAddr().String(), "error", err)
+			p.logEnd(name, conn, err)
 			return
 		}
 		hello, isHello := m.(protocol.PeerHello)
@@ -112,7 +114,9 @@
 				return
 			}
 		case isHello || name == "":
-			p.log.Error("peer link refused", "peer", hello.Node, "remote", conn.RemoteAddr().String())
+			p.refusals.Do(func() {
+				p.log.Error("peer link refused", "peer", hello.Node, "remote", conn.RemoteAddr().String())
+			})
 			return
 		}
 		links.markActive(conn)
@@ -120,6 +124,23 @@
 	}
 }
 
+// logEnd logs the end of a link.
+func (p *peerLinks) logEnd(name protocol.NodeName, conn net.Conn, err error) {
+	log := func() {
+		p.log.Info("peer link ended", "peer", name, "remote", conn.RemoteAddr().String(), "error", err)
+	}
+	if name == "" {
+		p.refusals.Do(log)
+		return
+	}
+	log()
+}
+
+// limitedLog returns a limit for the log of what senders of invalid input can cause at any rate.
+func limitedLog() *rate.Sometimes {
+	return &rate.Sometimes{First: tuning.UnlimitedRefusals, Interval: tuning.RefusalLogInterval}
+}
+
 // send queues a message for a peer. If the queue is full, the message is lost, as it would be on a
 // broken link.
 func (p *peerLinks) send(name protocol.NodeName, m protocol.PeerMessage) {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -14,6 +14,7 @@
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
 	"github.com/gappond/gappond/internal/tuning"
+	"golang.org/x/time/rate"
 )
 
 // maxHeaderBytes limits the size of one request's headers.
@@ -28,6 +29,7 @@
 	connections *connectionLimits
 	metrics     *metrics
 	ready       func() bool
+	refusals    *rate.Sometimes // limits the log of refused heartbeats
 }
 
 // listen opens the server's listener, which admits a limited number of connections at a time.
@@ -206,7 +208,7 @@
 	}
 	heartbeat, err := protocol.ParseHeartbeat(body)
 	if err != nil {
-		s.log.Error("heartbeat refused", "error", err)
+		s.refusals.Do(func() { s.log.Error("heartbeat refused", "error", err) })
 		writeError(w, http.StatusBadRequest, err.Error())
 		return
 	}
--- a/internal/tuning/transport.go
+++ b/internal/tuning/transport.go
@@ -86,6 +86,11 @@
 	PeerRedialDelay = 500 * time.Millisecond
 	// PeerWriteTimeout bounds the writing of one batch of frames.
 	PeerWriteTimeout = 3 * time.Second
+	// UnlimitedRefusals is the number of refused heartbeats, and of refused links, that are all logged.
+	// After them, one in each RefusalLogInterval is.
+	UnlimitedRefusals = 20
+	// RefusalLogInterval is the interval at which further ones are logged.
+	RefusalLogInterval = time.Second
 	// MaxUnidentifiedLinks bounds the connections from controllers that have not told their name.
 	MaxUnidentifiedLinks = 32
 	// MaxLinksPerPeer bounds the links from one peer. The peer uses one; others have broken and
