An answer is not sent once the same controller has told a newer state

Cause: the content of an answer was decided when the store had answered a comparison that was sent earlier, and nothing looked at what had been told between. The same holds for repeated submissions, for the response to a submission that is late, for a query that finds no record, and for two comparisons that overtake each other.

Change: every answer about a job passes a gate when it is sent (package answers). It keeps the newest state that this controller told, by stage and revision of the record. An older answer becomes the final state if that is known, and is read again otherwise. A read that was sent after the newer state was told is believed: it shows that the store was restored.

--- a/internal/architecture/imports_test.go
+++ b/internal/architecture/imports_test.go
@@ -69,9 +69,14 @@
 		"internal/tuning",
 	}},
 	"internal/coordination/kv": {pure: true, imports: []string{"internal/protocol"}},
+	"internal/coordination/answers": {pure: true, imports: []string{
+		"internal/protocol",
+		"internal/tuning",
+	}},
 	"internal/coordination/api": {pure: true, imports: []string{
 		"internal/storage",
 		"internal/config",
+		"internal/coordination/answers",
 		"internal/coordination/cluster",
 		"internal/coordination/kv",
 		"internal/protocol",
--- a/internal/coordination/api/api.go
+++ b/internal/coordination/api/api.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/coordination/answers"
 	"github.com/gappond/gappond/internal/coordination/kv"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
@@ -59,6 +60,7 @@
 
 // Service handles the users' requests that one controller receives.
 type Service struct {
+	env           Environment
 	replies       *responder
 	finished      *finishedJobs
 	queries       *statusQueries
@@ -70,13 +72,14 @@
 func New(cfg *config.Config, types map[protocol.MachineTypeName]*protocol.MachineType, mirror *storage.Mirror,
 	store kv.Client, budgets Budgets, replies Replies, env Environment) *Service {
 	confirmed := &confirmedCancellations{cfg: cfg, env: env, jobs: map[protocol.JobID]time.Time{}}
-	responder := &responder{Replies: replies, env: env, confirmed: confirmed}
+	responder := &responder{replies: replies, env: env, gate: answers.NewGate(env), confirmed: confirmed}
 	finished := &finishedJobs{finals: map[protocol.JobID]storage.FinalRecord{}}
 	lookups := &lookups{store: store, env: env, replies: responder, finished: finished}
+	responder.lookups = lookups
 	queries := &statusQueries{cfg: cfg, mirror: mirror, store: store, budgets: budgets, env: env,
 		replies: responder, finished: finished, lookups: lookups}
 	return &Service{
-		replies: responder, finished: finished, queries: queries,
+		env: env, replies: responder, finished: finished, queries: queries,
 		submissions: &submissions{cfg: cfg, mirror: mirror, store: store, budgets: budgets, env: env,
 			replies: responder, finished: finished, lookups: lookups, queries: queries,
 			runnable: &runnableCheck{cfg: cfg, types: types}},
@@ -86,20 +89,28 @@
 }
 
 // Submit handles a submission: it stores the job unless the job is already known.
-func (s *Service) Submit(requestID uint64, spec *protocol.Job) { s.submissions.answer(requestID, spec) }
+func (s *Service) Submit(requestID uint64, spec *protocol.Job) {
+	s.submissions.answer(newRequest(requestID, submission, spec.ID, s.env.Now()), spec)
+}
 
 // Query handles a status query.
-func (s *Service) Query(requestID uint64, jobID protocol.JobID) { s.queries.answer(requestID, jobID) }
+func (s *Service) Query(requestID uint64, jobID protocol.JobID) {
+	s.queries.answer(newRequest(requestID, statusQuery, jobID, s.env.Now()))
+}
 
 // Cancel handles a cancellation: it marks the job as cancelled unless the job is finished.
 func (s *Service) Cancel(requestID uint64, jobID protocol.JobID) {
-	s.cancellations.answer(requestID, jobID)
+	s.cancellations.answer(newRequest(requestID, cancellation, jobID, s.env.Now()))
 }
 
 // CheckQueries compares the mirror with the store for the waiting status queries, if that is
 // due, and answers them.
 func (s *Service) CheckQueries() { s.queries.check() }
 
+// Overtaken returns the number of answers that were about to be older than one that was told before,
+// and were replaced by the newer state.
+func (s *Service) Overtaken() uint64 { return s.replies.overtaken }
+
 // Shed returns the number of requests that were refused because of overload.
 func (s *Service) Shed() uint64 { return s.replies.shed }
 
--- a/internal/coordination/api/cancellations.go
+++ b/internal/coordination/api/cancellations.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"github.com/gappond/gappond/internal/coordination/answers"
 	"github.com/gappond/gappond/internal/coordination/kv"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
-	"github.com/gappond/gappond/internal/tuning"
 )
 
 // cancellations marks jobs as cancelled in their records.
@@ -22,61 +22,46 @@
 
 // answer handles a cancellation: it marks the job as cancelled in a conditional transaction.
 // The leader learns of it from its watch.
-func (c *cancellations) answer(requestID uint64, jobID protocol.JobID) {
-	if status, ok := c.finished.status(jobID); ok {
-		c.replies.Accepted(requestID, protocol.Accepted{ID: jobID, Phase: status.Phase})
+func (c *cancellations) answer(req request) {
+	if state, ok := c.finished.state(req.job); ok {
+		c.replies.tell(req, state)
 		return
 	}
-	if c.replies.refuseIfUnavailable(requestID, c.mirror.Ready()) {
+	if c.replies.refuseIfUnavailable(req, c.mirror.Ready()) {
 		return
 	}
 	if !c.budgets.TakeUserWrite(c.env.Now()) {
-		c.replies.shedLoad(requestID)
+		c.replies.shedLoad(req)
 		return
 	}
-	deadline := c.env.Now().Add(tuning.UserRequestTimeout)
-	if entry, ok := c.mirror.Get(storage.JobKey(jobID)); ok {
-		c.cancelRecord(requestID, jobID, &entry, deadline)
+	if entry, ok := c.mirror.Get(storage.JobKey(req.job)); ok {
+		c.cancelRecord(req, &entry)
 		return
 	}
-	c.cancelFromStore(requestID, jobID, deadline)
+	c.cancelFromStore(req)
 }
 
-// cancelFromStore reads a job's current record from the store and cancels the job.
-func (c *cancellations) cancelFromStore(requestID uint64, jobID protocol.JobID, deadline time.Time) {
-	c.lookups.read(requestID, storage.JobKey(jobID), deadline, func(entry *protocol.Entry) {
+// cancelFromStore reads a job's current record from the store and cancels the job. A job without a
+// main record is finished or does not exist.
+func (c *cancellations) cancelFromStore(req request) {
+	c.lookups.read(req, storage.JobKey(req.job), func(entry *protocol.Entry, _ time.Time) {
 		if entry != nil {
-			c.cancelRecord(requestID, jobID, entry, deadline)
+			c.cancelRecord(req, entry)
 			return
 		}
-		c.answerFinished(requestID, jobID, deadline)
-	})
-}
-
-// answerFinished replies to the cancellation of a job that had no main record when it was
-// read: the job is finished or does not exist.
-func (c *cancellations) answerFinished(requestID uint64, jobID protocol.JobID, deadline time.Time) {
-	c.lookups.readStatus(requestID, jobID, deadline, func(status *protocol.Status) {
-		switch {
-		case status == nil:
-			c.replies.UnknownJob(requestID)
-		case status.Phase != protocol.PhaseDone && status.Phase != protocol.PhaseCancelled:
-			c.replies.Unavailable(requestID, reasonTryAgain)
-		default:
-			c.replies.Accepted(requestID, protocol.Accepted{ID: jobID, Phase: status.Phase})
-		}
+		c.lookups.answer(req)
 	})
 }
 
 // cancelRecord marks a job's main record as cancelled, unless it is marked already.
-func (c *cancellations) cancelRecord(requestID uint64, jobID protocol.JobID, entry *protocol.Entry, deadline time.Time) {
+func (c *cancellations) cancelRecord(req request, entry *protocol.Entry) {
 	record, err := storage.DecodeJob(entry.Value)
 	if err != nil {
-		c.replies.Unavailable(requestID, reasonMalformedRecord)
+		c.replies.unavailable(req, reasonMalformedRecord)
 		return
 	}
-	if record.Cancelled {
-		c.confirmCancellation(requestID, jobID) // perhaps by a transaction whose response was lost
+	if record.Cancelled { // perhaps by a transaction whose response was lost
+		c.confirm(req, record, entry.Revision)
 		return
 	}
 	record.Cancelled, record.Writer = true, c.env.UniqueName()
@@ -90,17 +75,17 @@
 	c.store.Transact(txn, func(result kv.TransactionResult) {
 		switch {
 		case result.Outcome == kv.Done:
-			c.confirmCancellation(requestID, jobID)
-		case (result.Outcome == kv.ConditionFailed || result.Outcome == kv.Unknown) && c.env.Now().Before(deadline):
-			c.cancelFromStore(requestID, jobID, deadline)
+			c.confirm(req, record, result.Revision)
+		case (result.Outcome == kv.ConditionFailed || result.Outcome == kv.Unknown) && c.env.Now().Before(req.deadline):
+			c.cancelFromStore(req)
 		default:
-			c.replies.Unavailable(requestID, reasonStoreNotResponding)
+			c.replies.unavailable(req, reasonStoreNotResponding)
 		}
 	})
 }
 
-// confirmCancellation notifies the leader of a stored cancellation and confirms it to the user.
-func (c *cancellations) confirmCancellation(requestID uint64, jobID protocol.JobID) {
-	c.env.AnnounceCancellation(jobID)
-	c.replies.Accepted(requestID, protocol.Accepted{ID: jobID, Phase: protocol.PhaseCancelled})
+// confirm notifies the leader of a stored cancellation and confirms it to the user.
+func (c *cancellations) confirm(req request, record *storage.Job, revision protocol.Revision) {
+	c.env.AnnounceCancellation(req.job)
+	c.replies.tell(req, answers.State{Status: record.Status(), Revision: revision})
 }
--- a/internal/coordination/api/finished_jobs.go
+++ b/internal/coordination/api/finished_jobs.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"github.com/gappond/gappond/internal/coordination/answers"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
 	"github.com/gappond/gappond/internal/tuning"
@@ -19,12 +20,13 @@
 	fj.finals[jobID] = final
 }
 
-// status returns the final state of a job and whether it is cached.
-func (fj *finishedJobs) status(jobID protocol.JobID) (protocol.Status, bool) {
+// state returns the final state of a job and whether it is cached.
+func (fj *finishedJobs) state(jobID protocol.JobID) (answers.State, bool) {
 	final, ok := fj.finals[jobID]
-	return finishedStatus(jobID, final), ok
+	return finishedState(jobID, final), ok
 }
 
-func finishedStatus(jobID protocol.JobID, final storage.FinalRecord) protocol.Status {
-	return protocol.Status{ID: jobID, Phase: final.Phase, Done: final.Done}
+// finishedState returns the state that a final record shows.
+func finishedState(jobID protocol.JobID, final storage.FinalRecord) answers.State {
+	return answers.State{Status: protocol.Status{ID: jobID, Phase: final.Phase, Done: final.Done}}
 }
--- a/internal/coordination/api/lookups.go
+++ b/internal/coordination/api/lookups.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/gappond/gappond/internal/coordination/answers"
 	"github.com/gappond/gappond/internal/coordination/kv"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
@@ -18,77 +19,57 @@
 }
 
 // read reads one key from the store and calls done with the entry, or with nil if the key does
-// not exist. It retries until the deadline while responses are lost. If the store gives no
-// usable response, it replies that the request is unavailable and does not call done.
-func (l *lookups) read(requestID uint64, key string, deadline time.Time, done func(entry *protocol.Entry)) {
+// not exist, and with the time when the read was sent. It retries until the request's deadline while
+// responses are lost. If the store gives no usable response, it replies that the request is
+// unavailable and does not call done.
+func (l *lookups) read(req request, key string, done func(entry *protocol.Entry, sentAt time.Time)) {
+	sentAt := l.env.Now()
 	l.store.Get(key, func(result kv.GetResult) {
 		switch {
 		case result.Outcome == kv.Done && !result.Malformed:
-			done(&result.Entry)
+			done(&result.Entry, sentAt)
 		case result.Outcome == kv.NotFound:
-			done(nil)
-		case result.Outcome == kv.Unknown && l.env.Now().Before(deadline):
-			l.read(requestID, key, deadline, done)
+			done(nil, sentAt)
+		case result.Outcome == kv.Unknown && l.env.Now().Before(req.deadline):
+			l.read(req, key, done)
 		default:
-			l.replies.Unavailable(requestID, reasonStoreNotResponding)
+			l.replies.unavailable(req, reasonStoreNotResponding)
 		}
 	})
 }
 
-// readStatus reads a job's state from the store. It reads the main record first: a job moves
-// from its main record to its final record and never back, so one of the two reads finds it.
-func (l *lookups) readStatus(requestID uint64, jobID protocol.JobID, deadline time.Time, done func(status *protocol.Status)) {
-	l.read(requestID, storage.JobKey(jobID), deadline, func(entry *protocol.Entry) {
+// answer replies to a request with the state of its job in the store. It reads the main record first:
+// a job moves from its main record to its final record and never back, so one of the two reads finds
+// it.
+func (l *lookups) answer(req request) {
+	l.read(req, storage.JobKey(req.job), func(entry *protocol.Entry, sentAt time.Time) {
 		if entry == nil {
-			l.readFinalStatus(requestID, jobID, deadline, done)
+			l.answerFinished(req, sentAt)
 			return
 		}
 		record, err := storage.DecodeJob(entry.Value)
 		if err != nil {
-			l.replies.Unavailable(requestID, reasonMalformedRecord)
+			l.replies.unavailable(req, reasonMalformedRecord)
 			return
 		}
-		status := record.Status()
-		done(&status)
+		l.replies.tell(req, answers.State{Status: record.Status(), Revision: entry.Revision, SentAt: sentAt})
 	})
 }
 
-// readFinalStatus reads a job's state from its final record.
-func (l *lookups) readFinalStatus(requestID uint64, jobID protocol.JobID, deadline time.Time, done func(status *protocol.Status)) {
-	l.read(requestID, storage.FinalRecordKey(jobID), deadline, func(entry *protocol.Entry) {
+// answerFinished replies to a request whose job had no main record in a read that was sent at the
+// given time: the job is finished, or does not exist.
+func (l *lookups) answerFinished(req request, sentAt time.Time) {
+	l.read(req, storage.FinalRecordKey(req.job), func(entry *protocol.Entry, _ time.Time) {
 		if entry == nil {
-			done(nil)
+			l.replies.tell(req, answers.State{Status: protocol.Status{ID: req.job}, SentAt: sentAt})
 			return
 		}
 		var final storage.FinalRecord
 		if protocol.Unmarshal(entry.Value, &final) != nil || final.Phase == "" {
-			l.replies.Unavailable(requestID, reasonMalformedRecord)
+			l.replies.unavailable(req, reasonMalformedRecord)
 			return
 		}
-		l.finished.add(jobID, final)
-		status := finishedStatus(jobID, final)
-		done(&status)
-	})
-}
-
-// answerStatus replies to a status query with the job's state in the store.
-func (l *lookups) answerStatus(requestID uint64, jobID protocol.JobID, deadline time.Time) {
-	l.readStatus(requestID, jobID, deadline, func(status *protocol.Status) {
-		if status == nil {
-			l.replies.UnknownJob(requestID)
-			return
-		}
-		l.replies.Status(requestID, *status)
-	})
-}
-
-// answerResubmission replies to the submission of a job that is already known.
-func (l *lookups) answerResubmission(requestID uint64, jobID protocol.JobID, deadline time.Time) {
-	l.readStatus(requestID, jobID, deadline, func(status *protocol.Status) {
-		if status == nil {
-			l.replies.Unavailable(requestID, reasonTryAgain)
-			return
-		}
-		l.replies.Accepted(requestID, protocol.Accepted{ID: jobID, Phase: status.Phase})
+		l.finished.add(req.job, final)
+		l.replies.tell(req, finishedState(req.job, final))
 	})
 }
--- a/internal/coordination/api/status_queries.go
+++ b/internal/coordination/api/status_queries.go
@@ -4,24 +4,16 @@
 	"time"
 
 	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/coordination/answers"
 	"github.com/gappond/gappond/internal/coordination/kv"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
 	"github.com/gappond/gappond/internal/tuning"
 )
 
-// statusQuery is a query about an unfinished job that waits until the mirror's record has been
-// compared with the store: the mirror may be behind, and no user may be told an older state
-// than any controller has already reported.
-type statusQuery struct {
-	requestID    uint64
-	job          protocol.JobID
-	resubmission bool // a repeated submission; its reply is a protocol.Accepted
-	deadline     time.Time
-}
-
 // statusQueries handles status queries. Queries about unfinished jobs and repeated submissions
-// of such jobs are collected, and their records are checked in one transaction.
+// of such jobs wait until the mirror's record has been compared with the store, because the mirror may
+// be behind. The records of those that wait are checked in one transaction.
 type statusQueries struct {
 	cfg      *config.Config
 	mirror   *storage.Mirror
@@ -32,7 +24,7 @@
 	finished *finishedJobs
 	lookups  *lookups
 
-	waiting     []statusQuery
+	waiting     []request
 	nextCheckAt time.Time // when the waiting queries are checked
 }
 
@@ -45,23 +37,23 @@
 
 // answer handles a status query. It replies at once, or after the record has been checked or
 // read.
-func (sq *statusQueries) answer(requestID uint64, jobID protocol.JobID) {
-	if status, ok := sq.finished.status(jobID); ok {
-		sq.replies.Status(requestID, status)
+func (sq *statusQueries) answer(req request) {
+	if state, ok := sq.finished.state(req.job); ok {
+		sq.replies.tell(req, state)
 		return
 	}
-	if sq.replies.refuseIfUnavailable(requestID, sq.mirror.Ready()) {
+	if sq.replies.refuseIfUnavailable(req, sq.mirror.Ready()) {
 		return
 	}
-	if _, ok := sq.mirror.Get(storage.JobKey(jobID)); ok {
-		sq.enqueue(statusQuery{requestID: requestID, job: jobID})
+	if _, ok := sq.mirror.Get(storage.JobKey(req.job)); ok {
+		sq.enqueue(req)
 		return
 	}
 	if !sq.budgets.AllowsUserRead(sq.env.Now()) {
-		sq.replies.shedLoad(requestID)
+		sq.replies.shedLoad(req)
 		return
 	}
-	sq.lookups.answerStatus(requestID, jobID, sq.env.Now().Add(tuning.UserRequestTimeout))
+	sq.lookups.answer(req)
 }
 
 // shedExpired refuses the status queries whose deadline passed while they waited for the budget.
@@ -71,25 +63,24 @@
 		if sq.env.Now().Before(query.deadline) {
 			kept = append(kept, query)
 		} else {
-			sq.replies.shedLoad(query.requestID)
+			sq.replies.shedLoad(query)
 		}
 	}
 	sq.waiting = kept
 }
 
-// enqueue adds a query to those that wait to be checked together, or refuses it if too many
+// enqueue adds a request to those that wait to be checked together, or refuses it if too many
 // are waiting.
-func (sq *statusQueries) enqueue(query statusQuery) {
+func (sq *statusQueries) enqueue(req request) {
 	resources := sq.cfg.Cluster.Process
 	if len(sq.waiting) >= resources.MaxUserRequests() {
-		sq.replies.shedLoad(query.requestID)
+		sq.replies.shedLoad(req)
 		return
 	}
 	if len(sq.waiting) == 0 {
 		sq.nextCheckAt = sq.env.Now().Add(resources.RequestDelay(tuning.StatusQueryBatchDelay, tuning.StatusQueryCPUShare))
 	}
-	query.deadline = sq.env.Now().Add(tuning.UserRequestTimeout)
-	sq.waiting = append(sq.waiting, query)
+	sq.waiting = append(sq.waiting, req)
 }
 
 // check compares the mirror's records of the waiting queries with the store. It uses a
@@ -111,7 +102,7 @@
 	sq.store.Transact(batch.comparison, func(result kv.TransactionResult) {
 		if !batch.applyResult(result) {
 			for _, query := range batch.queries {
-				sq.replies.Unavailable(query.requestID, reasonStoreNotResponding)
+				sq.replies.unavailable(query, reasonStoreNotResponding)
 			}
 			return
 		}
@@ -123,19 +114,19 @@
 
 // queryBatch is a group of status queries that are checked by one transaction.
 type queryBatch struct {
-	queries    []statusQuery
+	queries    []request
 	comparison protocol.Transaction
-	status     map[protocol.JobID]protocol.Status // by job, according to the mirror
-	stale      map[string]bool                    // keys whose records have changed in the store
+	states     map[protocol.JobID]answers.State // by job, according to the mirror
+	stale      map[string]bool                  // keys whose records have changed in the store
 }
 
 // takeBatch removes up to limit queries from the front of the queue.
 func (sq *statusQueries) takeBatch(limit int) *queryBatch {
 	count := min(limit, len(sq.waiting))
-	batch := &queryBatch{queries: sq.waiting[:count], status: map[protocol.JobID]protocol.Status{}, stale: map[string]bool{}}
-	sq.waiting = append([]statusQuery(nil), sq.waiting[count:]...)
+	batch := &queryBatch{queries: sq.waiting[:count], states: map[protocol.JobID]answers.State{}, stale: map[string]bool{}}
+	sq.waiting = append([]request(nil), sq.waiting[count:]...)
 	for _, query := range batch.queries {
-		if _, ok := batch.status[query.job]; ok {
+		if _, ok := batch.states[query.job]; ok {
 			continue
 		}
 		key := storage.JobKey(query.job)
@@ -143,7 +134,7 @@
 		if !ok {
 			continue
 		}
-		batch.status[query.job] = status
+		batch.states[query.job] = answers.State{Status: status, Revision: revision, SentAt: sq.env.Now()}
 		batch.comparison.Conditions = append(batch.comparison.Conditions, protocol.Condition{Key: key, Revision: revision})
 	}
 	return batch
@@ -157,7 +148,7 @@
 		return true
 	case kv.ConditionFailed:
 		if result.Malformed || len(result.Failed) == 0 {
-			clear(qb.status) // no record is known to be current
+			clear(qb.states) // no record is known to be current
 		}
 		for _, key := range result.Failed {
 			qb.stale[key] = true
@@ -169,17 +160,11 @@
 
 // answerChecked replies from the mirror's record if that was current, and otherwise reads the
 // record from the store first.
-func (sq *statusQueries) answerChecked(query statusQuery, batch *queryBatch) {
-	status, ok := batch.status[query.job]
-	fresh := ok && !batch.stale[storage.JobKey(query.job)]
-	switch {
-	case !fresh && query.resubmission:
-		sq.lookups.answerResubmission(query.requestID, query.job, query.deadline)
-	case !fresh:
-		sq.lookups.answerStatus(query.requestID, query.job, query.deadline)
-	case query.resubmission:
-		sq.replies.Accepted(query.requestID, protocol.Accepted{ID: query.job, Phase: status.Phase})
-	default:
-		sq.replies.Status(query.requestID, status)
+func (sq *statusQueries) answerChecked(query request, batch *queryBatch) {
+	state, ok := batch.states[query.job]
+	if !ok || batch.stale[storage.JobKey(query.job)] {
+		sq.lookups.answer(query)
+		return
 	}
+	sq.replies.tell(query, state)
 }
--- a/internal/coordination/api/submissions.go
+++ b/internal/coordination/api/submissions.go
@@ -1,13 +1,11 @@
 package api
 
 import (
-	"time"
-
 	"github.com/gappond/gappond/internal/config"
+	"github.com/gappond/gappond/internal/coordination/answers"
 	"github.com/gappond/gappond/internal/coordination/kv"
 	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/storage"
-	"github.com/gappond/gappond/internal/tuning"
 )
 
 // submissions stores the jobs that users submit.
@@ -25,41 +23,29 @@
 }
 
 // answer handles a submission: it stores the job unless the job is already known.
-func (s *submissions) answer(requestID uint64, spec *protocol.Job) {
-	if status, ok := s.finished.status(spec.ID); ok {
-		s.replies.Accepted(requestID, protocol.Accepted{ID: spec.ID, Phase: status.Phase})
+func (s *submissions) answer(req request, spec *protocol.Job) {
+	if state, ok := s.finished.state(req.job); ok {
+		s.replies.tell(req, state)
 		return
 	}
-	if s.replies.refuseIfUnavailable(requestID, s.mirror.Ready() && s.runnable.ready()) {
+	if s.replies.refuseIfUnavailable(req, s.mirror.Ready() && s.runnable.ready()) {
 		return
 	}
-	if _, ok := s.mirror.Get(storage.JobKey(spec.ID)); ok {
-		s.queries.enqueue(statusQuery{requestID: requestID, job: spec.ID, resubmission: true})
+	if _, ok := s.mirror.Get(storage.JobKey(req.job)); ok {
+		s.queries.enqueue(req)
 		return
 	}
-	if reason := s.runnable.unrunnableReason(spec); reason != "" {
-		s.refuseUnrunnable(requestID, spec.ID, reason)
+	if req.unrunnable = s.runnable.unrunnableReason(spec); req.unrunnable != "" {
+		s.lookups.answer(req) // a peer may have accepted the job, and it may even be finished
 		return
 	}
 	if !s.budgets.TakeUserWrite(s.env.Now()) {
-		if !s.env.ForwardSubmission(requestID, spec) {
-			s.replies.shedLoad(requestID)
+		if !s.env.ForwardSubmission(req.id, spec) {
+			s.replies.shedLoad(req)
 		}
 		return
 	}
-	s.storeSubmission(requestID, spec.ID, s.submissionTxn(spec), s.env.Now().Add(tuning.UserRequestTimeout))
-}
-
-// refuseUnrunnable refuses a job that can never run, unless the store has a record of it: a
-// peer may have accepted the job, and it may even be finished.
-func (s *submissions) refuseUnrunnable(requestID uint64, jobID protocol.JobID, reason string) {
-	s.lookups.readStatus(requestID, jobID, s.env.Now().Add(tuning.UserRequestTimeout), func(status *protocol.Status) {
-		if status != nil {
-			s.replies.Accepted(requestID, protocol.Accepted{ID: jobID, Phase: status.Phase})
-			return
-		}
-		s.replies.Unrunnable(requestID, reason)
-	})
+	s.storeSubmission(req, s.submissionTxn(spec))
 }
 
 // submissionTxn returns the encoded transaction that makes a submission durable. It requires
@@ -77,17 +63,20 @@
 // storeSubmission sends the transaction, and sends it again, until the deadline, while its
 // response is lost: the lost transaction may still be applied. If it was, the conditions of
 // the repeated one fail, which shows that the job is stored.
-func (s *submissions) storeSubmission(requestID uint64, jobID protocol.JobID, txn []byte, deadline time.Time) {
+func (s *submissions) storeSubmission(req request, txn []byte) {
+	sentAt := s.env.Now()
 	s.store.TransactEncoded(txn, func(result kv.TransactionResult) {
 		switch {
 		case result.Outcome == kv.Done:
-			s.replies.Created(requestID, protocol.Accepted{ID: jobID, Phase: protocol.PhasePending})
+			req.created = true
+			pending := protocol.Status{ID: req.job, Phase: protocol.PhasePending}
+			s.replies.tell(req, answers.State{Status: pending, Revision: result.Revision, SentAt: sentAt})
 		case result.Outcome == kv.ConditionFailed:
-			s.lookups.answerResubmission(requestID, jobID, deadline)
-		case result.Outcome == kv.Unknown && s.env.Now().Before(deadline):
-			s.storeSubmission(requestID, jobID, txn, deadline)
+			s.lookups.answer(req)
+		case result.Outcome == kv.Unknown && s.env.Now().Before(req.deadline):
+			s.storeSubmission(req, txn)
 		default:
-			s.replies.Unavailable(requestID, reasonStoreNotResponding)
+			s.replies.unavailable(req, reasonStoreNotResponding)
 		}
 	})
 }
