Replies about a job leave in the order in which they were decided

Callers could see: an older answer written after a newer one of the same process, or after a peer that had got a confirmation had told a newer one. Not seen outside tests.

Cause: each reply is written by the goroutine of its own request; the order of the event loop's decisions ended at a channel.

Change: replies about a job are written and flushed one after the other, in the order of the decisions. A confirmation to a peer waits for those that were decided before it. An answer that has expired by the time of the write becomes a 503.

Evidence: TestRepliesAboutJobAreWrittenInOrder, TestExpiredReplyIsNotWritten and TestConfirmationFollowsReplies each failed with the wait, the second look at the clock and the wait of the confirmation taken out.

--- a/internal/transport/event_loop.go
+++ b/internal/transport/event_loop.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gappond/gappond/internal/coordination"
+	"github.com/gappond/gappond/internal/protocol"
 	"github.com/gappond/gappond/internal/tuning"
 )
 
@@ -20,12 +22,14 @@
 	connections *connectionLimits
 	metrics     *metrics
 	ready       atomic.Bool
+	running     sync.WaitGroup // confirmations that wait to be sent
 }
 
 // run steps the state machine until the context ends.
 func (l *eventLoop) run(ctx context.Context) {
 	timer := time.NewTimer(tuning.MinTimerInterval)
 	defer timer.Stop()
+	defer l.running.Wait()
 	var batch []coordination.Event
 	for ctx.Err() == nil {
 		batch = l.fillBatch(batch[:0])
@@ -106,8 +110,25 @@
 	case coordination.Reply:
 		l.pending.deliver(a)
 	case coordination.PeerSend:
-		l.peers.send(a.Peer, a.Message)
+		l.sendToPeer(a)
 	case coordination.PeerLinkReset:
 		l.peers.reset(a.Peer)
 	}
 }
+
+// sendToPeer sends a message to a peer. The peer relies on a PeerAnswerConfirmation to arrive after every
+// reply about the job that was decided before, so it waits until those are written. If that takes too
+// long, it is not sent.
+func (l *eventLoop) sendToPeer(a coordination.PeerSend) {
+	if confirmation, ok := a.Message.(protocol.PeerAnswerConfirmation); ok {
+		if written := l.pending.order.written(confirmation.Job); written != nil {
+			l.running.Go(func() {
+				if waitFor(written) {
+					l.peers.send(a.Peer, a.Message)
+				}
+			})
+			return
+		}
+	}
+	l.peers.send(a.Peer, a.Message)
+}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -113,6 +113,23 @@
 	w.Write(body)
 }
 
+// writeDelivery writes a reply in its turn, and then lets the next reply about the same job be written.
+func writeDelivery(w http.ResponseWriter, d delivery) {
+	if d.turn == nil {
+		writeReply(w, d.Reply)
+		return
+	}
+	defer d.end()
+	reply := coordination.Unavailable(d.ID)
+	if d.turn.wait() {
+		reply = d.At(time.Now())
+	}
+	writeReply(w, reply)
+	// The reply is on its way only when it has left the server's buffer. An error means that the client
+	// has gone.
+	_ = http.NewResponseController(w).Flush()
+}
+
 // writeReply writes a reply of the node as the HTTP response. A reply without a body becomes an
 // error response with the text of its status.
 func writeReply(w http.ResponseWriter, r coordination.Reply) {
@@ -138,23 +155,23 @@
 
 // awaitReply passes a request to the event loop and waits for the reply. It returns status 503 if
 // the queue is full, and 504 if no reply arrives in time.
-func (s *httpServer) awaitReply(ctx context.Context, queue chan<- coordination.Event, timeout time.Duration, newEvent func(id uint64) coordination.Event) coordination.Reply {
+func (s *httpServer) awaitReply(ctx context.Context, queue chan<- coordination.Event, timeout time.Duration, newEvent func(id uint64) coordination.Event) delivery {
 	id, reply := s.pending.register()
-	defer s.pending.remove(id)
+	defer s.pending.remove(id, reply)
 	select {
 	case queue <- newEvent(id):
 	default:
-		return s.shed()
+		return delivery{Reply: s.shed()}
 	}
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case r := <-reply:
-		return r
+	case d := <-reply:
+		return d
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return coordination.Reply{Status: http.StatusGatewayTimeout}
+	return delivery{Reply: coordination.Reply{Status: http.StatusGatewayTimeout}}
 }
 
 func (s *httpServer) handleSubmit(w http.ResponseWriter, r *http.Request) {
@@ -171,7 +188,7 @@
 		writeError(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	writeReply(w, s.awaitReply(r.Context(), s.queues.users, tuning.ReplyTimeout, func(id uint64) coordination.Event {
+	writeDelivery(w, s.awaitReply(r.Context(), s.queues.users, tuning.ReplyTimeout, func(id uint64) coordination.Event {
 		return coordination.Submit{ID: id, Job: job}
 	}))
 }
@@ -184,7 +201,7 @@
 		writeError(w, http.StatusNotFound, "no such job")
 		return
 	}
-	writeReply(w, s.awaitReply(r.Context(), s.queues.users, tuning.ReplyTimeout, func(id uint64) coordination.Event {
+	writeDelivery(w, s.awaitReply(r.Context(), s.queues.users, tuning.ReplyTimeout, func(id uint64) coordination.Event {
 		return newEvent(id, jobID)
 	}))
 }
@@ -212,7 +229,7 @@
 		writeError(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	writeReply(w, s.awaitReply(r.Context(), s.queues.heartbeats, tuning.ReplyTimeout, func(id uint64) coordination.Event {
+	writeDelivery(w, s.awaitReply(r.Context(), s.queues.heartbeats, tuning.ReplyTimeout, func(id uint64) coordination.Event {
 		return coordination.AgentHeartbeat{ID: id, Heartbeat: heartbeat}
 	}))
 }
