Answers that are too old are compared again together, not read one by one

Cause: an answer whose comparison took over a second was read again by a request of its own. On a controller that has fallen behind, a batch of queries became as many reads, up to the deadline.

Change: such requests join the next comparison. So do those that a newer record has overtaken.

--- a/internal/coordination/api/api.go
+++ b/internal/coordination/api/api.go
@@ -92,6 +92,7 @@
 	responder.lookups = lookups
 	queries := &statusQueries{cfg: cfg, mirror: mirror, store: store, budgets: budgets, env: env,
 		replies: responder, finished: finished, lookups: lookups}
+	responder.queries = queries
 	return &Service{
 		env: env, mirror: mirror, replies: responder, finished: finished, queries: queries,
 		submissions: &submissions{cfg: cfg, mirror: mirror, store: store, budgets: budgets, env: env,
--- a/internal/coordination/api/responder.go
+++ b/internal/coordination/api/responder.go
@@ -26,6 +26,7 @@
 	env       Environment
 	gate      *answers.Gate
 	lookups   *lookups
+	queries   *statusQueries
 	confirmed *confirmedCancellations
 	shed      uint64
 	overtaken uint64
@@ -71,13 +72,14 @@
 	r.readAgain(req)
 }
 
-// readAgain reads the state of a request's job from the store, and replies with it.
+// readAgain asks the store for the state of a request's job once more, together with other requests if
+// that is possible.
 func (r *responder) readAgain(req request) {
 	if !r.env.Now().Before(req.deadline) {
 		r.unavailable(req, reasonTryAgain)
 		return
 	}
-	r.lookups.answer(req)
+	r.queries.checkOrRead(req)
 }
 
 // send replies to a request.
--- a/internal/coordination/api/status_queries.go
+++ b/internal/coordination/api/status_queries.go
@@ -45,12 +45,18 @@
 	if sq.replies.refuseIfUnavailable(req, sq.mirror.Ready()) {
 		return
 	}
-	if _, ok := sq.mirror.Get(storage.JobKey(req.job)); ok {
-		sq.enqueue(req)
+	if _, ok := sq.mirror.Get(storage.JobKey(req.job)); !ok && !sq.budgets.AllowsUserRead(sq.env.Now()) {
+		sq.replies.shedLoad(req)
 		return
 	}
-	if !sq.budgets.AllowsUserRead(sq.env.Now()) {
-		sq.replies.shedLoad(req)
+	sq.checkOrRead(req)
+}
+
+// checkOrRead has the mirror's record of a request's job compared with the store, or reads the record
+// from the store if the mirror has none.
+func (sq *statusQueries) checkOrRead(req request) {
+	if _, ok := sq.mirror.Get(storage.JobKey(req.job)); ok {
+		sq.enqueue(req)
 		return
 	}
 	sq.lookups.answer(req)
